Set up the build, schema, settings loader, log and the entry host interface

The project starts from an empty repository. This adds the design page, the message and settings schema with its generated code, result codes, packet parsing, a JSON reader that names file, line and key, JSON-line logs, and a first EntryHost that forwards by rendezvous hashing.

--- /dev/null
+++ b/src/libbergamotio/json_schema_test.cpp
@@ -0,0 +1,70 @@
+#include "libbergamotio/json_schema.h"
+
+#include "bergamotroute/result_code.h"
+
+#include "settings.pb.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+
+namespace {
+
+InputError parse(std::string_view text)
+{
+    schema::ControlHostSettings settings;
+    return parseJsonMessage(text, "control.json", settings);
+}
+
+constexpr std::string_view minimal = R"({
+    // a comment
+    "host": "c1", "data_centre": "perth-1", "rpc_listen": "127.0.0.1:7000",
+    "operators": { "listen": "127.0.0.1:7100" },
+    "data_folder": "state"
+})";
+
+}
+
+// Guards against settings that lose the defaults of the schema or reject comments.
+TEST_CASE("defaults fill absent keys and comments are accepted")
+{
+    schema::ControlHostSettings settings;
+    const InputError error = parseJsonMessage(minimal, "control.json", settings);
+    REQUIRE_MESSAGE(!error, error.message);
+    CHECK(settings.heartbeat_ms() == 100);
+    CHECK(settings.log().level() == "info");
+}
+
+// Guards against a misspelt key that is silently ignored.
+TEST_CASE("an unknown key is refused with file, line and key")
+{
+    const InputError error = parse("{\n  \"host\": \"c1\",\n  \"hots\": 1\n}");
+    CHECK(error.code == ResultCode::SettingsUnknownKey);
+    CHECK(error.message == "control.json:3: hots: unknown key");
+}
+
+// Guards against values of another type, outside their range or of another form.
+TEST_CASE("wrong types, ranges and forms are refused")
+{
+    CHECK(parse("{\"host\": 5}").code == ResultCode::SettingsWrongType);
+    CHECK(parse("{\"heartbeat_ms\": 1}").code == ResultCode::SettingsOutOfRange);
+    CHECK(parse("{\"heartbeat_ms\": -1}").code == ResultCode::SettingsOutOfRange);
+    CHECK(parse("{\"heartbeat_ms\": true}").code == ResultCode::SettingsWrongType);
+    CHECK(parse("{\"rpc_listen\": \"localhost\"}").code == ResultCode::SettingsOutOfRange);
+    CHECK(parse("{\"initial_members\": {}}").code == ResultCode::SettingsWrongType);
+}
+
+// Guards against a missing required key that starts with an empty value.
+TEST_CASE("a missing required key is refused")
+{
+    const InputError error = parse("{\"host\": \"c1\"}");
+    CHECK(error.code == ResultCode::SettingsMissingKey);
+}
+
+// Guards against two values for one key, of which one is silently lost.
+TEST_CASE("duplicate keys and syntax faults name their line")
+{
+    const InputError error = parse("{\n\"host\": \"a\",\n\"host\": \"b\"}");
+    CHECK(error.code == ResultCode::SettingsSyntax);
+    CHECK(error.message.starts_with("control.json:3:"));
+}
