Add target manager, admission policy and flow prober

First working version of the three decision parts behind their abstract interfaces, with factories in the public headers.

--- a/src/include/bergamotroute/admission.h
+++ b/src/include/bergamotroute/admission.h
@@ -10,10 +10,13 @@
 #include "configuration.pb.h"
 #include "entry.pb.h"
 
+#include <memory>
 #include <span>
 
 namespace bergamotroute {
 
+struct EntryHostOptions;
+
 /// What the bucket owner does with a first packet that has no record.
 enum class AdmissionVerdict {
     Admit,
@@ -47,4 +50,8 @@
     virtual void countEnded(ServiceId service, TimePoint now) = 0;
 };
 
+/// Makes the admission policy of an entry host.
+/// @param options host name and intervals; copied.
+std::unique_ptr<AdmissionPolicy> makeAdmissionPolicy(const EntryHostOptions& options);
+
 }
--- a/src/include/bergamotroute/flow_prober.h
+++ b/src/include/bergamotroute/flow_prober.h
@@ -10,10 +10,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 namespace bergamotroute {
 
+struct EntryHostOptions;
+
 /// What the entry host sends for one flow.
 struct ProbeAction {
     enum class Kind {
@@ -47,4 +50,8 @@
     virtual TimePoint nextDeadline() const = 0;
 };
 
+/// Makes the flow prober of an entry host.
+/// @param options capacity of the flow cache, which also bounds the probed flows; copied.
+std::unique_ptr<FlowProber> makeFlowProber(const EntryHostOptions& options);
+
 }
--- a/src/include/bergamotroute/target_manager.h
+++ b/src/include/bergamotroute/target_manager.h
@@ -14,12 +14,16 @@
 #include "entry.pb.h"
 #include "state.pb.h"
 
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace bergamotroute {
 
+struct EntryHostOptions;
+
 /// What steering needs to know of one target.
 struct TargetInfo {
     TargetId id = noTarget;
@@ -96,4 +100,8 @@
     virtual void dump(schema::EntryHostState& state, TimePoint now) const = 0;
 };
 
+/// Makes the target manager of an entry host.
+/// @param options host name, data centre, intervals and seed; copied.
+std::unique_ptr<TargetManager> makeTargetManager(const EntryHostOptions& options);
+
 }
--- /dev/null
+++ b/src/libbergamot/admission/service_limit.h
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// Limits of one service on this host: its share of the group's limit, and when the service counts as limited.
+
+#include "admission/flow_rate.h"
+#include "bergamotroute/admission.h"
+#include "bergamotroute/clock.h"
+#include "bergamotroute/types.h"
+
+#include "configuration.pb.h"
+#include "entry.pb.h"
+
+#include <cstdint>
+#include <map>
+
+namespace bergamotroute {
+
+/// Limits on new flows a second and on open flows of one service.
+class ServiceLimit {
+public:
+    void configure(const schema::Service& service);
+
+    /// Takes the hosts whose demand counts.
+    /// @param readyHosts number of hosts that may own buckets, this one included.
+    void handleView(const MembershipView& view, std::size_t readyHosts);
+
+    void handleDemand(HostIndex from, const schema::ServiceDemand& demand);
+    schema::ServiceDemand ownDemand(ServiceId service, TimePoint now) const;
+
+    AdmissionVerdict admit(TimePoint now, bool hasQuorum);
+    void countOpened(TimePoint now);
+    void countEnded();
+
+    bool isLimited() const { return m_limited; }
+    void handleLimitedInForce(TimePoint since);
+
+    /// Recomputes the share and the limited state from the demand of all hosts.
+    void update(TimePoint now);
+
+private:
+    bool hasLimit() const { return m_maxNewFlows > 0 || m_maxOpenFlows > 0; }
+    double ownRate(TimePoint now) const;
+    double groupRate(TimePoint now) const;
+    std::int64_t peersOpen() const;
+    void updateShare(TimePoint now);
+    void updateLimited(TimePoint now);
+    bool takeNewFlowToken(TimePoint now);
+    bool hasOpenRoom() const;
+
+    std::uint32_t m_maxNewFlows = 0;
+    std::uint32_t m_maxOpenFlows = 0;
+    std::size_t m_readyHosts = 1;
+    std::map<HostIndex, schema::ServiceDemand> m_peers;
+    FlowRate m_attempts;
+    FlowRate m_opened;
+    std::int64_t m_open = 0;
+    /// This host's part of the group's limits, between 0 and 1.
+    double m_share = 1;
+    double m_tokens = 0;
+    TimePoint m_tokensAt {};
+    /// Own open flows up to which this host admits until the next update.
+    std::int64_t m_openCeiling = 0;
+    bool m_limited = false;
+    TimePoint m_calmSince = noDeadline;
+    TimePoint m_inForceSince = noDeadline;
+};
+
+}
--- /dev/null
+++ b/src/libbergamot/probing/flow_prober.cpp
@@ -0,0 +1,241 @@
+#include "bergamotroute/flow_prober.h"
+
+#include "bergamotroute/entry_host.h"
+#include "bergamotroute/packet_builder.h"
+#include "bergamotroute/types.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <unordered_map>
+
+namespace bergamotroute {
+
+namespace {
+
+    constexpr unsigned maxProbes = 5;
+    constexpr Duration probeInterval { 75'000 };
+    constexpr std::uint32_t defaultIdleSeconds = 900;
+    /// A flow whose caller sent FIN is forgotten after this silence; the target ends its half by itself.
+    constexpr Duration finishedIdle { 60'000 };
+    /// Many flows may have become idle together, for example after an outage; their probes are spread over time.
+    constexpr std::size_t maxActionsPerCall = 500;
+    constexpr Duration spreadInterval { 100 };
+
+    /// What a probe or a reset needs to know of a flow.
+    struct ProbedFlow {
+        FlowKey key;
+        /// Next sequence number of the caller.
+        std::uint32_t nextSequence = 0;
+        /// What the caller acknowledged last.
+        std::uint32_t acknowledged = 0;
+        TimePoint lastSeen;
+        /// Deadline of the flow's entry in the queue; other entries are outdated.
+        TimePoint queued;
+        std::uint8_t probesSent = 0;
+        bool finished = false;
+        bool hasAcknowledged = false;
+    };
+
+    using QueueItem = std::pair<TimePoint, std::uint64_t>;
+
+    FlowKey reversed(const FlowKey& key)
+    {
+        return { key.destination, key.source, key.destinationPort, key.sourcePort, key.protocol };
+    }
+
+    std::vector<std::byte> keepAlive(const ProbedFlow& flow)
+    {
+        return buildTcpPacket(reversed(flow.key), { TcpAck, flow.acknowledged - 1, flow.nextSequence });
+    }
+
+    std::vector<std::byte> resetToCaller(const ProbedFlow& flow)
+    {
+        return buildTcpPacket(reversed(flow.key), { TcpRst | TcpAck, flow.acknowledged, flow.nextSequence });
+    }
+
+    std::vector<std::byte> resetToTarget(const ProbedFlow& flow)
+    {
+        return buildTcpPacket(flow.key, { TcpRst | TcpAck, flow.nextSequence, flow.acknowledged });
+    }
+
+    std::uint32_t sequenceLength(const PacketView& packet)
+    {
+        const std::uint32_t flags
+            = ((packet.tcpFlags & TcpSyn) != 0 ? 1 : 0) + ((packet.tcpFlags & TcpFin) != 0 ? 1 : 0);
+        return static_cast<std::uint32_t>(packet.payload.size()) + flags;
+    }
+
+    /// @return true if sequence number a is after b, modulo 2^32.
+    bool isAfter(std::uint32_t a, std::uint32_t b) { return static_cast<std::int32_t>(a - b) > 0; }
+
+}
+
+/// Keeps the sequence numbers of flows that may be probed, and one queue entry for each flow.
+class DefaultFlowProber final : public FlowProber {
+public:
+    explicit DefaultFlowProber(std::size_t capacity)
+        : m_capacity(capacity)
+    {
+    }
+
+    void handleConfiguration(const schema::Configuration& configuration, TimePoint) override
+    {
+        m_idleTimes.clear();
+        for (const schema::Service& service : configuration.services()) {
+            std::error_code error;
+            const IpAddress address = IpAddress::parse(service.address(), error);
+            const std::uint32_t seconds
+                = service.probe_idle_seconds() == 0 ? defaultIdleSeconds : service.probe_idle_seconds();
+            if (error || service.protocol() == schema::UDP)
+                continue;
+            for (const std::uint32_t port : service.ports())
+                m_idleTimes[{ address, static_cast<std::uint16_t>(port) }] = std::chrono::seconds(seconds);
+        }
+    }
+
+    void handlePacket(std::uint64_t flow, const PacketView& packet, TimePoint now) override;
+    void forget(std::uint64_t flow) override { m_flows.erase(flow); }
+    std::vector<ProbeAction> advance(TimePoint now) override;
+
+    TimePoint nextDeadline() const override
+    {
+        if (m_resumeAt != noDeadline)
+            return m_resumeAt;
+        return m_queue.empty() ? noDeadline : m_queue.top().first;
+    }
+
+private:
+    void start(std::uint64_t flow, const PacketView& packet, TimePoint now);
+    void note(ProbedFlow& flow, const PacketView& packet, TimePoint now);
+    std::optional<TimePoint> deadlineOf(const ProbedFlow& flow) const;
+    void enqueue(std::uint64_t id, ProbedFlow& flow, TimePoint deadline);
+    void handleDue(std::uint64_t id, TimePoint now, std::vector<ProbeAction>& actions);
+    void probe(std::uint64_t id, ProbedFlow& flow, TimePoint now, std::vector<ProbeAction>& actions);
+
+    std::size_t m_capacity;
+    std::map<Endpoint, Duration> m_idleTimes;
+    std::unordered_map<std::uint64_t, ProbedFlow> m_flows;
+    std::priority_queue<QueueItem, std::vector<QueueItem>, std::greater<>> m_queue;
+    TimePoint m_resumeAt = noDeadline;
+};
+
+void DefaultFlowProber::handlePacket(std::uint64_t flow, const PacketView& packet, TimePoint now)
+{
+    if (packet.flow.protocol != TransportProtocol::Tcp)
+        return;
+    if ((packet.tcpFlags & TcpRst) != 0) {
+        forget(flow);
+        return;
+    }
+    const auto found = m_flows.find(flow);
+    if (found == m_flows.end())
+        start(flow, packet, now);
+    else
+        note(found->second, packet, now);
+}
+
+void DefaultFlowProber::start(std::uint64_t flow, const PacketView& packet, TimePoint now)
+{
+    if (m_flows.size() >= m_capacity)
+        return;
+    ProbedFlow probed;
+    probed.key = packet.flow;
+    probed.nextSequence = packet.sequence;
+    note(probed, packet, now);
+    const std::optional<TimePoint> deadline = deadlineOf(probed);
+    if (deadline)
+        enqueue(flow, m_flows[flow] = probed, *deadline);
+}
+
+void DefaultFlowProber::note(ProbedFlow& flow, const PacketView& packet, TimePoint now)
+{
+    const std::uint32_t next = packet.sequence + sequenceLength(packet);
+    // A first packet on an old 5-tuple is a new connection with its own sequence numbers.
+    if (packet.isFirstPacket()) {
+        flow.nextSequence = next;
+        flow.hasAcknowledged = false;
+        flow.finished = false;
+    } else if (isAfter(next, flow.nextSequence)) {
+        flow.nextSequence = next;
+    }
+    if ((packet.tcpFlags & TcpAck) != 0) {
+        if (!flow.hasAcknowledged || isAfter(packet.acknowledgement, flow.acknowledged))
+            flow.acknowledged = packet.acknowledgement;
+        flow.hasAcknowledged = true;
+    }
+    flow.finished = flow.finished || (packet.tcpFlags & TcpFin) != 0;
+    flow.lastSeen = now;
+    flow.probesSent = 0;
+}
+
+std::optional<TimePoint> DefaultFlowProber::deadlineOf(const ProbedFlow& flow) const
+{
+    const auto idle = m_idleTimes.find({ flow.key.destination, flow.key.destinationPort });
+    if (idle == m_idleTimes.end())
+        return std::nullopt;
+    if (flow.finished)
+        return flow.lastSeen + finishedIdle;
+    return flow.lastSeen + idle->second + flow.probesSent * probeInterval;
+}
+
+void DefaultFlowProber::enqueue(std::uint64_t id, ProbedFlow& flow, TimePoint deadline)
+{
+    flow.queued = deadline;
+    m_queue.emplace(deadline, id);
+}
+
+std::vector<ProbeAction> DefaultFlowProber::advance(TimePoint now)
+{
+    std::vector<ProbeAction> actions;
+    m_resumeAt = noDeadline;
+    while (!m_queue.empty() && m_queue.top().first <= now) {
+        if (actions.size() >= maxActionsPerCall) {
+            m_resumeAt = now + spreadInterval;
+            break;
+        }
+        const auto [deadline, id] = m_queue.top();
+        m_queue.pop();
+        const auto found = m_flows.find(id);
+        if (found != m_flows.end() && found->second.queued == deadline)
+            handleDue(id, now, actions);
+    }
+    return actions;
+}
+
+void DefaultFlowProber::handleDue(std::uint64_t id, TimePoint now, std::vector<ProbeAction>& actions)
+{
+    ProbedFlow& flow = m_flows.at(id);
+    const std::optional<TimePoint> deadline = deadlineOf(flow);
+    if (!deadline) {
+        m_flows.erase(id);
+        return;
+    }
+    if (*deadline > now)
+        enqueue(id, flow, *deadline);
+    else if (flow.finished || !flow.hasAcknowledged)
+        m_flows.erase(id);
+    else
+        probe(id, flow, now, actions);
+}
+
+void DefaultFlowProber::probe(std::uint64_t id, ProbedFlow& flow, TimePoint now, std::vector<ProbeAction>& actions)
+{
+    if (flow.probesSent < maxProbes) {
+        ++flow.probesSent;
+        actions.push_back({ ProbeAction::Kind::Probe, id, keepAlive(flow) });
+        enqueue(id, flow, now + probeInterval);
+        return;
+    }
+    actions.push_back({ ProbeAction::Kind::ResetTarget, id, resetToTarget(flow) });
+    actions.push_back({ ProbeAction::Kind::ResetCaller, id, resetToCaller(flow) });
+    m_flows.erase(id);
+}
+
+std::unique_ptr<FlowProber> makeFlowProber(const EntryHostOptions& options)
+{
+    return std::make_unique<DefaultFlowProber>(options.flowCacheEntries);
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/targets/table_planner.cpp
@@ -0,0 +1,227 @@
+#include "targets/table_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <vector>
+#include <xxhash.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Rebalancing happens in steps of this interval, each within the limit of moved buckets.
+    constexpr Duration rebalanceInterval { 5'000 };
+    /// At most a tenth of the buckets moves in one step.
+    constexpr std::size_t rebalanceFraction = 10;
+    /// A smaller difference between actual and desired share is left alone: each moved bucket costs relays.
+    constexpr double shareTolerance = 0.03;
+
+    std::map<TargetId, std::int64_t> countCurrent(const BucketTable& table)
+    {
+        std::map<TargetId, std::int64_t> counts;
+        for (const Bucket& bucket : table.buckets)
+            ++counts[bucket.current];
+        return counts;
+    }
+
+    /// Order in which buckets are considered, the same on all hosts and unrelated to the order of targets.
+    std::vector<std::size_t> shuffledBuckets(std::size_t count, ServiceId service)
+    {
+        std::vector<std::size_t> order(count);
+        std::iota(order.begin(), order.end(), std::size_t { 0 });
+        std::sort(order.begin(), order.end(), [service](std::size_t a, std::size_t b) {
+            return XXH3_64bits_withSeed(&a, sizeof(a), service) < XXH3_64bits_withSeed(&b, sizeof(b), service);
+        });
+        return order;
+    }
+
+    std::int64_t tolerance(std::int64_t wanted)
+    {
+        return std::max<std::int64_t>(1, std::llround(shareTolerance * static_cast<double>(wanted)));
+    }
+
+    /// Differences between wanted and actual buckets of the targets that take new flows.
+    class Balance {
+    public:
+        Balance(const std::map<TargetId, std::int64_t>& wanted, const std::map<TargetId, std::int64_t>& have)
+        {
+            for (const auto& [id, count] : wanted) {
+                const auto found = have.find(id);
+                m_deficit[id] = count - (found == have.end() ? 0 : found->second);
+            }
+        }
+
+        std::int64_t deficit(TargetId id) const
+        {
+            const auto found = m_deficit.find(id);
+            return found == m_deficit.end() ? 0 : found->second;
+        }
+
+        TargetId neediest() const
+        {
+            return std::max_element(m_deficit.begin(), m_deficit.end(), [](const auto& a, const auto& b) {
+                return a.second < b.second;
+            })->first;
+        }
+
+        void move(TargetId from, TargetId to)
+        {
+            if (m_deficit.contains(from))
+                ++m_deficit[from];
+            --m_deficit[to];
+        }
+
+        bool exceeds(const std::map<TargetId, std::int64_t>& wanted) const
+        {
+            return std::any_of(m_deficit.begin(), m_deficit.end(),
+                [&wanted](const auto& item) { return std::abs(item.second) > tolerance(wanted.at(item.first)); });
+        }
+
+    private:
+        std::map<TargetId, std::int64_t> m_deficit;
+    };
+
+    void assign(Bucket& bucket, TargetId target)
+    {
+        bucket.current = target;
+        bucket.moved = true;
+    }
+
+    /// Prefers the bucket's base over the neediest target, because that bucket may settle again.
+    TargetId receiverFor(const Bucket& bucket, const Balance& balance)
+    {
+        return bucket.base != bucket.current && balance.deficit(bucket.base) > 0 ? bucket.base : balance.neediest();
+    }
+
+}
+
+std::optional<BucketTable> TablePlanner::plan(ServiceId service, const BucketTable* current, std::uint32_t bucketCount,
+    const TargetShares& shares, const IsGone& isGone, TimePoint now)
+{
+    if (current == nullptr || current->buckets.empty())
+        return planFirst(service, bucketCount, shares);
+    BucketTable next = *current;
+    bool changed = replaceGoneBases(next, isGone);
+    if (!shares.empty()) {
+        const Counts wanted = apportion(next.buckets.size(), shares, countCurrent(next));
+        changed = moveLeaving(next, shares, wanted) || changed;
+        if (now >= m_nextRebalance && rebalance(next, wanted)) {
+            m_nextRebalance = now + rebalanceInterval;
+            changed = true;
+        }
+        changed = replaceGoneBases(next, isGone) || changed;
+    }
+    if (!changed)
+        return std::nullopt;
+    next.version = current->version + 1;
+    next.leader = m_host;
+    return next;
+}
+
+std::optional<BucketTable> TablePlanner::planFirst(
+    ServiceId service, std::uint32_t bucketCount, const TargetShares& shares) const
+{
+    if (shares.empty())
+        return std::nullopt;
+    BucketTable table;
+    table.service = service;
+    table.version = 1;
+    table.leader = m_host;
+    table.buckets.resize(bucketCount);
+    const Counts wanted = apportion(bucketCount, shares, {});
+    Balance balance(wanted, {});
+    for (const std::size_t index : shuffledBuckets(bucketCount, service)) {
+        const TargetId target = balance.neediest();
+        balance.move(noTarget, target);
+        table.buckets[index] = { target, target, false };
+    }
+    return table;
+}
+
+bool TablePlanner::replaceGoneBases(BucketTable& table, const IsGone& isGone)
+{
+    bool changed = false;
+    for (Bucket& bucket : table.buckets) {
+        if (bucket.base == bucket.current || !isGone(bucket.base))
+            continue;
+        bucket.base = bucket.current;
+        changed = true;
+    }
+    return changed;
+}
+
+TablePlanner::Counts TablePlanner::apportion(std::size_t buckets, const TargetShares& shares, const Counts& have)
+{
+    double total = 0;
+    for (const auto& [id, share] : shares)
+        total += share;
+    struct Remainder {
+        double fraction;
+        bool holdsMore;
+        TargetId id;
+    };
+    Counts wanted;
+    std::vector<Remainder> remainders;
+    std::int64_t left = static_cast<std::int64_t>(buckets);
+    for (const auto& [id, share] : shares) {
+        const double exact = share / total * static_cast<double>(buckets);
+        const auto whole = static_cast<std::int64_t>(exact);
+        const auto held = have.find(id);
+        wanted[id] = whole;
+        left -= whole;
+        remainders.push_back({ exact - std::floor(exact), held != have.end() && held->second > whole, id });
+    }
+    // Targets that hold the extra bucket already come first, so that rounding moves nothing.
+    std::sort(remainders.begin(), remainders.end(), [](const Remainder& a, const Remainder& b) {
+        return std::tuple(a.holdsMore, a.fraction, a.id) > std::tuple(b.holdsMore, b.fraction, b.id);
+    });
+    for (std::size_t i = 0; left > 0; i = (i + 1) % remainders.size(), --left)
+        ++wanted[remainders[i].id];
+    return wanted;
+}
+
+bool TablePlanner::moveLeaving(BucketTable& table, const TargetShares& shares, const Counts& wanted)
+{
+    Balance balance(wanted, countCurrent(table));
+    bool changed = false;
+    for (const std::size_t index : shuffledBuckets(table.buckets.size(), table.service)) {
+        Bucket& bucket = table.buckets[index];
+        if (shares.contains(bucket.current))
+            continue;
+        const TargetId receiver = receiverFor(bucket, balance);
+        balance.move(noTarget, receiver);
+        assign(bucket, receiver);
+        changed = true;
+    }
+    return changed;
+}
+
+bool TablePlanner::rebalance(BucketTable& table, const Counts& wanted)
+{
+    Balance balance(wanted, countCurrent(table));
+    if (!balance.exceeds(wanted))
+        return false;
+    const std::vector<std::size_t> order = shuffledBuckets(table.buckets.size(), table.service);
+    std::size_t budget = table.buckets.size() / rebalanceFraction;
+    const auto pass = [&](auto&& isEligible) {
+        for (const std::size_t index : order) {
+            Bucket& bucket = table.buckets[index];
+            if (budget == 0 || balance.deficit(bucket.current) >= 0 || !isEligible(bucket))
+                continue;
+            const TargetId receiver = receiverFor(bucket, balance);
+            if (balance.deficit(receiver) <= 0)
+                continue;
+            balance.move(bucket.current, receiver);
+            assign(bucket, receiver);
+            --budget;
+        }
+    };
+    const std::size_t available = budget;
+    pass([&balance](const Bucket& bucket) { return bucket.moved && balance.deficit(bucket.base) > 0; });
+    pass([](const Bucket& bucket) { return bucket.moved; });
+    pass([](const Bucket&) { return true; });
+    return budget < available;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/targets/target_manager_test.cpp
@@ -0,0 +1,181 @@
+#include "bergamotroute/entry_host.h"
+#include "bergamotroute/result_code.h"
+#include "bergamotroute/target_manager.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+
+namespace {
+
+EntryHostOptions optionsOf(const std::string& host)
+{
+    EntryHostOptions options;
+    options.host = host;
+    options.dataCentre = "dc1";
+    return options;
+}
+
+schema::Configuration twoServices()
+{
+    schema::Configuration configuration;
+    for (const char* name : { "ordering", "manifests" }) {
+        schema::Service* service = configuration.add_services();
+        service->set_name(name);
+        service->add_allowed_networks("10.0.0.0/8");
+        service->set_drain_deadline_seconds(60);
+    }
+    return configuration;
+}
+
+MembershipView viewOf(HostIndex self, std::size_t hosts)
+{
+    MembershipView view;
+    view.self = self;
+    view.hasQuorum = true;
+    for (std::size_t i = 0; i < hosts; ++i) {
+        const auto index = static_cast<HostIndex>(i);
+        view.members.push_back(
+            { index, "host" + std::to_string(i), "dc" + std::to_string(i % 3), 1, schema::MEMBER_READY });
+    }
+    return view;
+}
+
+schema::Announcement announcementOf(const std::string& service, const std::string& address)
+{
+    schema::Announcement announcement;
+    announcement.set_service(service);
+    announcement.set_address(address);
+    announcement.set_fou_port(5555);
+    announcement.set_slots(3);
+    announcement.set_data_centre("dc1");
+    announcement.set_state(schema::READY);
+    announcement.set_lease_seconds(6);
+    announcement.set_health_url("http://" + address + "/health");
+    announcement.set_load_url("http://" + address + "/load");
+    announcement.set_incarnation(1);
+    return announcement;
+}
+
+IpAddress ip(const std::string& text)
+{
+    std::error_code error;
+    return IpAddress::parse(text, error);
+}
+
+struct Host {
+    explicit Host(HostIndex index = 0, std::size_t hosts = 1)
+        : manager(makeTargetManager(optionsOf("host" + std::to_string(index))))
+    {
+        manager->handleConfiguration(twoServices(), clock.now());
+        manager->handleView(viewOf(index, hosts), clock.now());
+    }
+
+    ResultCode announce(const schema::Announcement& announcement, const std::string& source = "10.0.0.1")
+    {
+        return static_cast<ResultCode>(manager->handleAnnouncement(announcement, ip(source), clock.now()).code());
+    }
+
+    bool accepts(TargetId id) const
+    {
+        const TargetInfo* info = manager->find(id);
+        return info != nullptr && info->acceptsNewFlows;
+    }
+
+    bool isGone(TargetId id) const
+    {
+        const TargetInfo* info = manager->find(id);
+        return info == nullptr || info->gone;
+    }
+
+    void pass(Duration time)
+    {
+        clock.advance(time);
+        manager->advance(clock.now());
+    }
+
+    ManualClock clock;
+    std::unique_ptr<TargetManager> manager;
+};
+
+TargetId idOf(const std::string& service, const std::string& address) { return targetId(service, ip(address)); }
+
+}
+
+TEST_CASE("refusals carry the code of their reason; guards against backend servers of foreign networks or services")
+{
+    Host host;
+    schema::Announcement announcement = announcementOf("ordering", "10.0.0.1");
+    CHECK(host.announce(announcement, "192.168.0.1") == ResultCode::AnnouncementForbiddenNetwork);
+    CHECK(host.announce(announcementOf("unknown", "10.0.0.1")) == ResultCode::AnnouncementUnknownService);
+    CHECK(host.announce(announcementOf("ordering", "nowhere")) == ResultCode::AnnouncementMalformed);
+    announcement.set_incarnation(5);
+    CHECK(host.announce(announcement) == ResultCode::Ok);
+    announcement.set_incarnation(4);
+    CHECK(host.announce(announcement) == ResultCode::AnnouncementStale);
+}
+
+TEST_CASE("an address belongs to one service until its quarantine ends; guards against packets for a wrong service")
+{
+    Host host;
+    REQUIRE(host.announce(announcementOf("ordering", "10.0.0.1")) == ResultCode::Ok);
+    CHECK(host.announce(announcementOf("manifests", "10.0.0.1")) == ResultCode::AnnouncementAddressClaimed);
+    host.pass(Duration(6'001));
+    CHECK(host.announce(announcementOf("manifests", "10.0.0.1")) == ResultCode::AnnouncementQuarantined);
+    host.pass(Duration(9'000));
+    CHECK(host.announce(announcementOf("manifests", "10.0.0.1")) == ResultCode::AnnouncementQuarantined);
+    host.pass(Duration(1'000));
+    CHECK(host.announce(announcementOf("manifests", "10.0.0.1")) == ResultCode::Ok);
+}
+
+TEST_CASE("a lease that ends takes the target out of new flows; guards against new flows to a silent backend server")
+{
+    Host host;
+    const TargetId id = idOf("ordering", "10.0.0.1");
+    REQUIRE(host.announce(announcementOf("ordering", "10.0.0.1")) == ResultCode::Ok);
+    CHECK(host.accepts(id));
+    host.pass(Duration(5'999));
+    CHECK(host.accepts(id));
+    host.pass(Duration(1));
+    CHECK_FALSE(host.accepts(id));
+    // Established flows go on until the quarantine has ended.
+    CHECK_FALSE(host.isGone(id));
+    host.pass(Duration(10'000));
+    CHECK(host.isGone(id));
+}
+
+TEST_CASE("renewals in heartbeats keep the lease on other hosts; guards against a lease that only one host renews")
+{
+    Host first(0, 2);
+    Host second(1, 2);
+    const TargetId id = idOf("ordering", "10.0.0.1");
+    REQUIRE(first.announce(announcementOf("ordering", "10.0.0.1")) == ResultCode::Ok);
+    const auto update = first.manager->takeUpdate(first.clock.now());
+    REQUIRE(update.has_value());
+    second.manager->handleUpdate(*update, second.clock.now());
+    for (int i = 0; i < 10; ++i) {
+        first.pass(Duration(2'000));
+        second.pass(Duration(2'000));
+        CHECK(first.announce(announcementOf("ordering", "10.0.0.1")) == ResultCode::Ok);
+        schema::Heartbeat heartbeat;
+        first.manager->fillHeartbeat(heartbeat, first.clock.now());
+        second.manager->handleHeartbeat(0, heartbeat, second.clock.now());
+        CHECK(second.accepts(id));
+    }
+}
+
+TEST_CASE("a drain keeps flows until the deadline; guards against feeds that a drain breaks")
+{
+    Host host;
+    const TargetId id = idOf("ordering", "10.0.0.1");
+    schema::Announcement announcement = announcementOf("ordering", "10.0.0.1");
+    announcement.set_lease_seconds(300);
+    REQUIRE(host.announce(announcement) == ResultCode::Ok);
+    announcement.set_state(schema::DRAINING);
+    REQUIRE(host.announce(announcement) == ResultCode::Ok);
+    CHECK_FALSE(host.accepts(id));
+    host.pass(Duration(59'999));
+    CHECK_FALSE(host.isGone(id));
+    host.pass(Duration(1));
+    CHECK(host.isGone(id));
+}
--- /dev/null
+++ b/src/libbergamot/targets/target_state.cpp
@@ -0,0 +1,83 @@
+#include "targets/target_state.h"
+
+#include <algorithm>
+
+namespace bergamotroute {
+
+namespace {
+
+    constexpr std::uint32_t defaultDrainDeadlineSeconds = 28'800;
+    /// New flows may still arrive until the move is active on all hosts, so a drain lasts at least this long.
+    constexpr Duration minDrainTime { 10'000 };
+
+    Duration drainDeadline(const schema::Service& service)
+    {
+        const std::uint32_t seconds = service.drain_deadline_seconds();
+        return std::chrono::seconds(seconds == 0 ? defaultDrainDeadlineSeconds : seconds);
+    }
+
+    /// @return since when the target drains, or noDeadline.
+    TimePoint drainingSince(const TargetRecord& record)
+    {
+        TimePoint since = noDeadline;
+        if (record.announcement.state() == schema::DRAINING)
+            since = record.stateSince;
+        if (record.adminState == schema::BACKEND_DRAIN || record.adminState == schema::BACKEND_MAINTENANCE)
+            since = std::min(since, record.adminSince);
+        return since;
+    }
+
+    const char* stateName(const TargetRecord& record, bool healthy, TimePoint now)
+    {
+        if (record.adminState == schema::BACKEND_REMOVED)
+            return "removed";
+        if (record.adminState == schema::BACKEND_MAINTENANCE)
+            return "maintenance";
+        if (!record.hasLease(now))
+            return "lease-ended";
+        if (drainingSince(record) != noDeadline)
+            return "draining";
+        if (record.announcement.state() == schema::STARTING)
+            return "starting";
+        return healthy ? "ready" : "unhealthy";
+    }
+
+}
+
+bool hasLeftForGood(
+    const TargetRecord& record, const TargetDirectory& directory, const LoadEstimator& load, TimePoint now)
+{
+    const schema::Service* service = directory.service(record.info.service);
+    if (service == nullptr || record.adminState == schema::BACKEND_REMOVED || directory.claimEnd(record) <= now)
+        return true;
+    const TimePoint since = drainingSince(record);
+    if (since == noDeadline || since + minDrainTime > now)
+        return false;
+    return since + drainDeadline(*service) <= now || load.isEmpty(record.info.id, now);
+}
+
+void describeTarget(schema::TargetState& state, const TargetRecord& record, bool healthy, TimePoint now)
+{
+    state.set_service(record.announcement.service());
+    state.set_address(record.info.endpoint.address.toString());
+    state.set_fou_port(record.info.endpoint.port);
+    state.set_data_centre(record.info.dataCentre);
+    state.set_slots(record.announcement.slots());
+    state.set_state(stateName(record, healthy, now));
+    state.set_accepts_new_flows(record.info.acceptsNewFlows);
+    state.set_lease_ms(
+        record.hasLease(now) ? static_cast<std::uint32_t>((record.leaseEnd - now).count()) : std::uint32_t { 0 });
+}
+
+double capacityOf(const TargetRecord& record) { return record.announcement.slots() * (record.weightPercent / 100.0); }
+
+double partOf(const TargetShares& shares, TargetId target)
+{
+    double total = 0;
+    for (const auto& [id, share] : shares)
+        total += share;
+    const auto found = shares.find(target);
+    return found == shares.end() || total <= 0 ? 0 : found->second / total;
+}
+
+}
