--- a/src/libbergamot/probing/flow_prober.cpp
+++ b/src/libbergamot/probing/flow_prober.cpp
@@ -4,8 +4,8 @@
 #include "bergamotroute/packet_builder.h"
 #include "bergamotroute/types.h"
 
+#include <algorithm>
 #include <functional>
-#include <map>
 #include <optional>
 #include <queue>
 #include <unordered_map>
@@ -38,6 +38,12 @@
         bool hasAcknowledged = false;
     };
 
+    /// Probe time of the flows to one service address and port; a steering group has few of them.
+    struct IdleTime {
+        Endpoint service;
+        Duration time;
+    };
+
     using QueueItem = std::pair<TimePoint, std::uint64_t>;
 
     FlowKey reversed(const FlowKey& key)
@@ -91,7 +97,7 @@
             if (error || service.protocol() == schema::UDP)
                 continue;
             for (const std::uint32_t port : service.ports())
-                m_idleTimes[{ address, static_cast<std::uint16_t>(port) }] = std::chrono::seconds(seconds);
+                m_idleTimes.push_back({ { address, static_cast<std::uint16_t>(port) }, std::chrono::seconds(seconds) });
         }
     }
 
@@ -115,7 +121,7 @@
     void probe(std::uint64_t id, ProbedFlow& flow, TimePoint now, std::vector<ProbeAction>& actions);
 
     std::size_t m_capacity;
-    std::map<Endpoint, Duration> m_idleTimes;
+    std::vector<IdleTime> m_idleTimes;
     std::unordered_map<std::uint64_t, ProbedFlow> m_flows;
     std::priority_queue<QueueItem, std::vector<QueueItem>, std::greater<>> m_queue;
     TimePoint m_resumeAt = noDeadline;
@@ -172,12 +178,14 @@
 
 std::optional<TimePoint> DefaultFlowProber::deadlineOf(const ProbedFlow& flow) const
 {
-    const auto idle = m_idleTimes.find({ flow.key.destination, flow.key.destinationPort });
+    const Endpoint service { flow.key.destination, flow.key.destinationPort };
+    const auto idle = std::find_if(
+        m_idleTimes.begin(), m_idleTimes.end(), [&service](const IdleTime& item) { return item.service == service; });
     if (idle == m_idleTimes.end())
         return std::nullopt;
     if (flow.finished)
         return flow.lastSeen + finishedIdle;
-    return flow.lastSeen + idle->second + flow.probesSent * probeInterval;
+    return flow.lastSeen + idle->time + flow.probesSent * probeInterval;
 }
 
 void DefaultFlowProber::enqueue(std::uint64_t id, ProbedFlow& flow, TimePoint deadline)
--- a/src/libbergamot/targets/target_manager.cpp
+++ b/src/libbergamot/targets/target_manager.cpp
@@ -45,7 +45,7 @@
     schema::AnnouncementResult handleAnnouncement(
         const schema::Announcement& announcement, const IpAddress& source, TimePoint now) override
     {
-        const schema::AnnouncementResult result = m_directory.announce(announcement, source, now);
+        schema::AnnouncementResult result = m_directory.announce(announcement, source, now);
         refresh(now);
         return result;
     }
