--- /dev/null
+++ b/src/libbergamotio/udp_socket.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// @file
+/// UDP sockets that receive and send in batches, because the system calls dominate the cost of the data path.
+
+#include "libbergamotio/socket_address.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <system_error>
+
+namespace bergamotroute {
+
+/// A non-blocking UDP socket with one receive and one send batch.
+class UdpSocket {
+public:
+    /// Datagrams a system call.
+    static constexpr std::size_t batchSize = 64;
+    /// Largest datagram; an inner packet of a 1,500-byte link and a relay header fit with room to spare.
+    static constexpr std::size_t datagramBytes = 4096;
+
+    using Handler = std::function<void(std::span<const std::byte> payload, const Endpoint& source)>;
+
+    UdpSocket();
+    ~UdpSocket();
+    UdpSocket(const UdpSocket&) = delete;
+    UdpSocket& operator=(const UdpSocket&) = delete;
+
+    /// Opens and binds the socket; port zero takes a free one.
+    /// @return ResultCode::AddressUnavailable if the address cannot be bound.
+    std::error_code open(const Endpoint& local);
+
+    int descriptor() const { return m_descriptor; }
+
+    /// @return the bound address.
+    Endpoint local() const { return localEndpoint(m_descriptor); }
+
+    /// Receives one batch and calls the handler for each datagram. The payload is valid during the call.
+    /// @return number of datagrams received.
+    std::size_t receive(const Handler& handler);
+
+    /// Copies a datagram into the send batch; a full batch is sent at once.
+    /// @param header bytes before the payload; may be empty.
+    void queue(const Endpoint& target, std::span<const std::byte> header, std::span<const std::byte> payload);
+
+    /// Sends the batch.
+    void flush();
+
+    /// @return datagrams that the system did not take: full buffers, too long, or of another address family.
+    std::uint64_t sendErrors() const { return m_sendErrors; }
+
+private:
+    struct Batch;
+
+    int m_descriptor = -1;
+    bool m_isV4 = true;
+    std::uint64_t m_sendErrors = 0;
+    std::unique_ptr<Batch> m_received;
+    std::unique_ptr<Batch> m_sent;
+};
+
+}
