--- a/src/libbergamot/targets/load_estimator.cpp
+++ b/src/libbergamot/targets/load_estimator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <vector>
 
 namespace bergamotroute {
@@ -10,22 +11,23 @@
 
     /// A report counts fully up to this age and not at all at twice this age.
     constexpr Duration freshAge { 5'000 };
-    /// Busy slots of a target with two or three slots jump by a third; their mean over this time is usable.
-    constexpr double busySmoothingMs = 10'000;
+    /// Busy slots of a target with two or three slots vary by 70% of their mean from report to report.
+    constexpr double busySmoothingMs = 60'000;
     /// Load may differ by this much from the share of new flows before it counts as implausible in part.
     constexpr double trustBand = 0.2;
     /// Below this part of the share that our own counts give, a report of idleness is ignored altogether: either the
     /// report is wrong, or the target has just started and is filling up by itself.
     constexpr double implausiblyIdle = 0.6;
-    /// Differences within the statistical noise of hashing are not corrected, because each correction moves buckets.
-    constexpr double deadband = 0.1;
+    /// Differences within three standard errors are noise, and a few percent more are not worth moving buckets. With a
+    /// fixed deadband of 10% the planner moved 70 buckets in two minutes for noise alone.
+    constexpr double noiseErrors = 3;
+    constexpr double openDeadband = 0.05;
+    constexpr double busyDeadband = 0.1;
     /// A target that looks idle gains at half the rate at which a loaded target loses, because a wrong report of
     /// idleness harms the target and its callers, a wrong report of load only spreads flows over the others.
     constexpr double gainRate = 0.5;
     constexpr double minCorrection = 0.8;
     constexpr double maxCorrection = 1.2;
-    /// Fewer open connections per target than this are too few to compare.
-    constexpr double comparableConnections = 50;
     /// Time and number of reports without open connections after which a target counts as empty.
     constexpr Duration emptyTime { 3'000 };
     constexpr unsigned emptyReportsNeeded = 3;
@@ -39,19 +41,27 @@
         return *middle;
     }
 
-    double ratioOrNeutral(double value, double reference) { return reference > 0 ? value / reference : 1; }
+    /// A long queue counts like as many busy slots again; more says nothing about the share that the target can carry.
+    double busyOf(const schema::LoadReport& report)
+    {
+        return report.busy_slots() + std::min(report.queued(), report.busy_slots());
+    }
+
+    /// @return the part of a deviation from 1 that is larger than the deadband.
+    double deviation(double ratio, double deadband)
+    {
+        if (ratio > 1)
+            return std::max(0.0, ratio - 1 - deadband);
+        return std::min(0.0, ratio - 1 + deadband);
+    }
 
-    /// Turns relative load into a factor for the share.
+    /// Turns load relative to the other targets, without noise, into a factor for the share.
     double correctionFor(double load, double ownRatio)
     {
-        if (load < implausiblyIdle * ownRatio)
+        if (load == 1)
             return 1;
         const double trusted = std::clamp(load, (1 - trustBand) * ownRatio, (1 + trustBand) * ownRatio);
-        double correction = 1;
-        if (trusted > 1 + deadband)
-            correction = 1 / (trusted - deadband);
-        else if (trusted < 1 - deadband)
-            correction = 1 + gainRate * (1 - deadband - trusted);
+        const double correction = trusted > 1 ? 1 / trusted : 1 + gainRate * (1 - trusted);
         return std::clamp(correction, minCorrection, maxCorrection);
     }
 
@@ -61,12 +71,11 @@
 {
     const auto [item, isNew] = m_loads.try_emplace(target);
     Load& load = item->second;
-    if (!isNew && report.time_ms() != 0 && report.time_ms() < load.report.time_ms())
+    // Several checkers may pass on the same report.
+    if (!isNew && report.time_ms() != 0 && report.time_ms() <= load.report.time_ms())
         return false;
-    if (isNew) {
-        load.smoothedBusy = report.busy_slots() + report.queued();
+    if (isNew)
         load.received = now;
-    }
     smooth(load, report, now);
     load.report = report;
     load.received = now;
@@ -74,11 +83,24 @@
     return true;
 }
 
+void SmoothedValue::add(double value, double elapsed)
+{
+    // The first values count evenly, so that the mean does not stay near the first one.
+    const double part = std::max(1 - std::exp(-elapsed), 1 / (m_values + 1));
+    const double difference = value - m_mean;
+    m_mean += part * difference;
+    m_variance = (1 - part) * (m_variance + part * difference * difference);
+    m_values = std::min(m_values + 1, 2 / part - 1);
+}
+
+double SmoothedValue::standardError() const
+{
+    return m_values < minValues ? std::numeric_limits<double>::infinity() : std::sqrt(m_variance / m_values);
+}
+
 void LoadEstimator::smooth(Load& load, const schema::LoadReport& report, TimePoint now)
 {
-    const double elapsed = static_cast<double>((now - load.received).count());
-    const double keep = std::exp(-elapsed / busySmoothingMs);
-    load.smoothedBusy = keep * load.smoothedBusy + (1 - keep) * (report.busy_slots() + report.queued());
+    load.busy.add(busyOf(report), static_cast<double>((now - load.received).count()) / busySmoothingMs);
     if (report.open_connections() > 0) {
         load.emptySince = noDeadline;
         load.emptyReports = 0;
@@ -131,33 +153,51 @@
     if (!reportAge || candidate.capacity <= 0)
         return {};
     const Load& load = m_loads.at(candidate.target);
-    return { load.report.open_connections() / candidate.capacity, load.smoothedBusy / candidate.capacity,
-        freshness(*reportAge) };
+    Density density;
+    density.open = load.report.open_connections() / candidate.capacity;
+    density.openError = std::sqrt(load.report.open_connections()) / candidate.capacity;
+    density.busy = load.busy.mean() / candidate.capacity;
+    density.busyError = load.busy.standardError() / candidate.capacity;
+    density.weight = freshness(*reportAge);
+    return density;
+}
+
+double LoadEstimator::relativeLoad(const Density& density, const Density& reference)
+{
+    if (reference.open <= 0 || reference.busy <= 0)
+        return 1;
+    const double open = density.open / reference.open;
+    const double busy = density.busy / reference.busy;
+    const double openNoise = noiseErrors * std::max(density.openError, reference.openError) / reference.open;
+    const double busyNoise = noiseErrors * std::max(density.busyError, reference.busyError) / reference.busy;
+    return 1 + deviation(open, openDeadband + openNoise) + deviation(busy, busyDeadband + busyNoise);
 }
 
 std::map<TargetId, double> LoadEstimator::corrections(std::span<const LoadCandidate> candidates, TimePoint now) const
 {
     std::vector<Density> densities;
-    std::vector<double> open;
-    std::vector<double> busy;
-    std::vector<double> connections;
+    std::vector<Density> fresh;
     for (const LoadCandidate& candidate : candidates) {
-        const Density& density = densities.emplace_back(densityOf(candidate, now));
-        if (density.weight <= 0)
-            continue;
-        open.push_back(density.open);
-        busy.push_back(density.busy);
-        connections.push_back(density.open * candidate.capacity);
+        densities.push_back(densityOf(candidate, now));
+        if (densities.back().weight > 0)
+            fresh.push_back(densities.back());
     }
-    const bool comparable = median(connections) >= comparableConnections;
-    const double openReference = comparable ? median(open) : 0;
-    const double busyReference = median(busy);
+    const auto medianOf = [&fresh](double Density::*member) {
+        std::vector<double> values;
+        for (const Density& density : fresh)
+            values.push_back(density.*member);
+        return median(std::move(values));
+    };
+    // The median of all targets is not moved by one report that is wrong.
+    const Density reference { medianOf(&Density::open), medianOf(&Density::openError), medianOf(&Density::busy),
+        medianOf(&Density::busyError), 1 };
     std::map<TargetId, double> factors;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Density& density = densities[i];
-        const double load
-            = (ratioOrNeutral(density.open, openReference) + ratioOrNeutral(density.busy, busyReference)) / 2;
-        const double correction = correctionFor(load, candidates[i].newFlowRatio);
+        const double ownRatio = candidates[i].newFlowRatio;
+        const bool isPlausible
+            = density.open / reference.open + density.busy / reference.busy >= 2 * implausiblyIdle * ownRatio;
+        const double correction = isPlausible ? correctionFor(relativeLoad(density, reference), ownRatio) : 1;
         factors[candidates[i].target] = 1 + density.weight * (correction - 1);
     }
     return factors;
--- a/src/libbergamot/targets/load_estimator.h
+++ b/src/libbergamot/targets/load_estimator.h
@@ -24,6 +24,26 @@
     double newFlowRatio = 1;
 };
 
+/// Exponentially weighted mean of a value, and how far it may be from the true mean.
+class SmoothedValue {
+public:
+    /// @param elapsed time since the previous value, in units of the smoothing time.
+    void add(double value, double elapsed);
+
+    double mean() const { return m_mean; }
+
+    /// @return standard error of the mean; infinite for few values.
+    double standardError() const;
+
+private:
+    static constexpr double minValues = 10;
+
+    double m_mean = 0;
+    double m_variance = 0;
+    /// Number of independent values that the mean is worth.
+    double m_values = 0;
+};
+
 /// Keeps the latest load report of each target and derives corrections from it.
 class LoadEstimator {
 public:
@@ -53,16 +73,21 @@
         TimePoint received;
         /// Receive time minus report time in ms.
         std::int64_t clockOffset = 0;
-        double smoothedBusy = 0;
+        SmoothedValue busy;
         TimePoint emptySince = noDeadline;
         unsigned emptyReports = 0;
     };
+    /// Load for one unit of capacity, with standard errors.
     struct Density {
         double open = 0;
+        double openError = 0;
         double busy = 0;
+        double busyError = 0;
+        /// Between 0 for no usable report and 1 for a fresh one.
         double weight = 0;
     };
 
+    static double relativeLoad(const Density& density, const Density& reference);
     static double freshness(Duration age);
     Density densityOf(const LoadCandidate& candidate, TimePoint now) const;
     std::int64_t medianClockOffset() const;
