--- a/src/libbergamot/targets/load_estimator.cpp
+++ b/src/libbergamot/targets/load_estimator.cpp
@@ -23,9 +23,9 @@
     constexpr double noiseErrors = 3;
     constexpr double openDeadband = 0.05;
     constexpr double busyDeadband = 0.1;
-    /// A target that looks idle gains at half the rate at which a loaded target loses, because a wrong report of
-    /// idleness harms the target and its callers, a wrong report of load only spreads flows over the others.
-    constexpr double gainRate = 0.5;
+    /// A target that looks idle gains at a quarter of the rate at which a loaded target loses, because a wrong report
+    /// of idleness harms the target and its callers, a wrong report of load only spreads flows over the others.
+    constexpr double gainRate = 0.25;
     constexpr double minCorrection = 0.8;
     constexpr double maxCorrection = 1.2;
     /// Time and number of reports without open connections after which a target counts as empty.
