Keep open flows below the limit and probe again on time; add module tests

Tests of admission showed that three hosts together opened 1,158 flows under a limit of 1,000: each took all the room it saw, and saw itself ahead of hosts whose heartbeats were older. A host now fills nine tenths of its share at once, takes the rest in parts, and compares demand of equal age; the test admits at most 1,000. A probed flow that answers starts a new idle time; it was kept until the next probe would have been due.

--- a/src/libbergamot/admission/admission_policy.cpp
+++ b/src/libbergamot/admission/admission_policy.cpp
@@ -26,6 +26,7 @@
             else
                 limit.handleView(m_view, m_view.readyHosts().size());
             limit.configure(service);
+            limit.startRound(now);
         }
         m_limits = std::move(limits);
         update(now);
@@ -51,9 +52,10 @@
 
     void fillHeartbeat(schema::Heartbeat& heartbeat, TimePoint now) override
     {
-        update(now);
-        for (const auto& [id, limit] : m_limits)
+        for (auto& [id, limit] : m_limits) {
+            limit.startRound(now);
             *heartbeat.add_demand() = limit.ownDemand(id, now);
+        }
     }
 
     AdmissionVerdict admit(ServiceId service, TimePoint now) override
--- /dev/null
+++ b/src/libbergamot/admission/admission_policy_test.cpp
@@ -0,0 +1,139 @@
+#include "bergamotroute/admission.h"
+#include "bergamotroute/entry_host.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+
+namespace {
+
+const ServiceId ordering = serviceId("ordering");
+
+schema::Configuration limited(std::uint32_t newFlows, std::uint32_t openFlows)
+{
+    schema::Configuration configuration;
+    schema::Service* service = configuration.add_services();
+    service->set_name("ordering");
+    service->set_max_new_flows_per_second(newFlows);
+    service->set_max_open_flows(openFlows);
+    return configuration;
+}
+
+MembershipView viewOf(HostIndex self, bool hasQuorum = true)
+{
+    MembershipView view;
+    view.self = self;
+    view.hasQuorum = hasQuorum;
+    for (HostIndex i = 0; i < 3; ++i)
+        view.members.push_back({ i, "host" + std::to_string(i), "dc1", 1, schema::MEMBER_READY });
+    return view;
+}
+
+/// Three hosts that exchange heartbeats every 500 ms.
+struct Group {
+    explicit Group(const schema::Configuration& configuration)
+    {
+        for (HostIndex i = 0; i < 3; ++i) {
+            hosts.push_back(makeAdmissionPolicy({}));
+            hosts.back()->handleView(viewOf(i), clock.now());
+            hosts.back()->handleConfiguration(configuration, clock.now());
+        }
+    }
+
+    void exchange()
+    {
+        for (HostIndex from = 0; from < 3; ++from) {
+            schema::Heartbeat heartbeat;
+            hosts[from]->fillHeartbeat(heartbeat, clock.now());
+            for (HostIndex to = 0; to < 3; ++to) {
+                if (to != from)
+                    hosts[to]->handleHeartbeat(from, heartbeat, clock.now());
+            }
+        }
+    }
+
+    /// Offers flows for some seconds, every 10 ms, with a different rate at each host.
+    /// @return admitted flows of each host in the last second.
+    std::vector<int> offer(const std::vector<int>& perTick, int seconds)
+    {
+        std::vector<int> admitted(3, 0);
+        for (int tick = 0; tick < seconds * 100; ++tick) {
+            clock.advance(Duration(10));
+            for (HostIndex i = 0; i < 3; ++i) {
+                for (int flow = 0; flow < perTick[i]; ++flow) {
+                    last = hosts[i]->admit(ordering, clock.now());
+                    if (last != AdmissionVerdict::Admit)
+                        continue;
+                    hosts[i]->countOpened(ordering, clock.now());
+                    admitted[i] += tick >= (seconds - 1) * 100 ? 1 : 0;
+                }
+            }
+            if (tick % 50 == 0)
+                exchange();
+        }
+        return admitted;
+    }
+
+    ManualClock clock;
+    std::vector<std::unique_ptr<AdmissionPolicy>> hosts;
+    AdmissionVerdict last = AdmissionVerdict::Admit;
+};
+
+}
+
+TEST_CASE("hosts share the limit of new flows by demand; guards against a limit that each host applies in full")
+{
+    Group group(limited(400, 0));
+    const std::vector<int> admitted = group.offer({ 6, 2, 0 }, 10);
+    CHECK(admitted[0] + admitted[1] <= 400);
+    CHECK(admitted[0] + admitted[1] >= 340);
+    CHECK(admitted[0] > 2 * admitted[1]);
+    CHECK(group.hosts[2]->isLimited(ordering));
+}
+
+TEST_CASE("open flows stay below the limit; guards against hosts that each fill the room that all of them share")
+{
+    Group group(limited(0, 1'000));
+    group.offer({ 3, 3, 3 }, 10);
+    std::uint32_t open = 0;
+    for (const auto& host : group.hosts) {
+        schema::Heartbeat heartbeat;
+        host->fillHeartbeat(heartbeat, group.clock.now());
+        open += heartbeat.demand(0).open_flows();
+    }
+    CHECK(open <= 1'000);
+    CHECK(open >= 900);
+    group.hosts[0]->countEnded(ordering, group.clock.now());
+}
+
+TEST_CASE("excess flows are dropped silently for 3 s, then refused; guards against refusing a flow that has run")
+{
+    Group group(limited(100, 0));
+    group.offer({ 2, 2, 2 }, 3);
+    CHECK(group.last == AdmissionVerdict::DropSilently);
+    for (const auto& host : group.hosts)
+        host->handleLimitedInForce(ordering, group.clock.now());
+    group.offer({ 2, 2, 2 }, 2);
+    CHECK(group.last == AdmissionVerdict::DropSilently);
+    group.offer({ 2, 2, 2 }, 2);
+    CHECK(group.last == AdmissionVerdict::Refuse);
+    group.hosts[2]->handleView(viewOf(2, false), group.clock.now());
+    group.offer({ 2, 2, 2 }, 1);
+    CHECK(group.last == AdmissionVerdict::DropSilently);
+}
+
+TEST_CASE("the limited mark ends after calm demand; guards against owners that decide on every flow for ever")
+{
+    Group group(limited(100, 0));
+    group.offer({ 2, 2, 2 }, 3);
+    CHECK(group.hosts[0]->isLimited(ordering));
+    group.offer({ 0, 0, 0 }, 20);
+    CHECK_FALSE(group.hosts[0]->isLimited(ordering));
+}
+
+TEST_CASE("a service without limits admits; guards against limits of zero that refuse everything")
+{
+    Group group(limited(0, 0));
+    CHECK(group.offer({ 5, 5, 5 }, 2) == std::vector<int> { 500, 500, 500 });
+    CHECK_FALSE(group.hosts[0]->isLimited(ordering));
+}
--- a/src/libbergamot/admission/service_limit.cpp
+++ b/src/libbergamot/admission/service_limit.cpp
@@ -16,6 +16,12 @@
     constexpr Duration silentTime { 3'000 };
     /// This part of a limit is shared evenly, so that a host without demand so far can admit its first flows.
     constexpr double evenPart = 0.1;
+    /// A host fills this part of its share at once. The shares that hosts compute differ by a few percent.
+    constexpr double firmPart = 0.9;
+    /// Beyond that a host takes this part of its share of the room that is left, each time it sends a heartbeat.
+    /// Taking all of it overshot the limit by 16%, because the other hosts had used the same room since their last
+    /// heartbeat.
+    constexpr double roomPart = 0.25;
     /// Tokens for new flows are saved up for this time at most.
     constexpr double burstSeconds = 0.5;
 
@@ -54,9 +60,9 @@
     return demand;
 }
 
-double ServiceLimit::groupRate(TimePoint now) const
+double ServiceLimit::peersRate() const
 {
-    double rate = ownRate(now);
+    double rate = 0;
     for (const auto& [host, demand] : m_peers)
         rate += demand.new_flows_per_second();
     return rate;
@@ -72,23 +78,36 @@
 
 void ServiceLimit::update(TimePoint now)
 {
-    updateShare(now);
+    updateShare();
     updateLimited(now);
 }
 
-void ServiceLimit::updateShare(TimePoint now)
+void ServiceLimit::updateShare()
 {
     const double even = 1.0 / static_cast<double>(m_readyHosts);
-    const double total = groupRate(now);
-    const double byDemand = total > 0 ? ownRate(now) / total : even;
+    // Hosts that have not been heard yet are assumed to have the mean demand; without this the first host to send a
+    // heartbeat took nearly the whole limit.
+    const double known = static_cast<double>(m_peers.size() + 1);
+    const double total = (m_sentRate + peersRate()) * std::max(1.0, static_cast<double>(m_readyHosts) / known);
+    const double byDemand = total > 0 ? m_sentRate / total : even;
     m_share = (1 - evenPart) * byDemand + evenPart * even;
-    const std::int64_t room = std::max<std::int64_t>(0, m_maxOpenFlows - peersOpen() - m_open);
-    m_openCeiling = m_open + static_cast<std::int64_t>(std::floor(static_cast<double>(room) * m_share));
 }
 
+void ServiceLimit::startRound(TimePoint now)
+{
+    update(now);
+    const std::int64_t room = std::max<std::int64_t>(0, openRoom());
+    const double own = firmPart * m_share * m_maxOpenFlows;
+    const double beyond = static_cast<double>(m_open) + roomPart * m_share * static_cast<double>(room);
+    m_openCeiling = static_cast<std::int64_t>(std::floor(std::max(own, beyond)));
+    m_sentRate = ownRate(now);
+}
+
+std::int64_t ServiceLimit::openRoom() const { return m_maxOpenFlows - peersOpen() - m_open; }
+
 void ServiceLimit::updateLimited(TimePoint now)
 {
-    const double newFlowUse = m_maxNewFlows == 0 ? 0 : groupRate(now) / m_maxNewFlows;
+    const double newFlowUse = m_maxNewFlows == 0 ? 0 : (ownRate(now) + peersRate()) / m_maxNewFlows;
     const double openUse = m_maxOpenFlows == 0 ? 0 : static_cast<double>(peersOpen() + m_open) / m_maxOpenFlows;
     const double use = std::max(newFlowUse, openUse);
     if (use >= limitedFrom)
@@ -119,7 +138,7 @@
     return true;
 }
 
-bool ServiceLimit::hasOpenRoom() const { return m_maxOpenFlows == 0 || m_open < m_openCeiling; }
+bool ServiceLimit::hasOpenRoom() const { return m_maxOpenFlows == 0 || (openRoom() > 0 && m_open < m_openCeiling); }
 
 AdmissionVerdict ServiceLimit::admit(TimePoint now, bool hasQuorum)
 {
--- a/src/libbergamot/admission/service_limit.h
+++ b/src/libbergamot/admission/service_limit.h
@@ -38,14 +38,18 @@
     /// Recomputes the share and the limited state from the demand of all hosts.
     void update(TimePoint now);
 
+    /// Recomputes how many flows this host may open until its next heartbeat.
+    void startRound(TimePoint now);
+
 private:
     bool hasLimit() const { return m_maxNewFlows > 0 || m_maxOpenFlows > 0; }
     double ownRate(TimePoint now) const;
-    double groupRate(TimePoint now) const;
+    double peersRate() const;
     std::int64_t peersOpen() const;
-    void updateShare(TimePoint now);
+    void updateShare();
     void updateLimited(TimePoint now);
     bool takeNewFlowToken(TimePoint now);
+    std::int64_t openRoom() const;
     bool hasOpenRoom() const;
 
     std::uint32_t m_maxNewFlows = 0;
@@ -57,6 +61,9 @@
     std::int64_t m_open = 0;
     /// This host's part of the group's limits, between 0 and 1.
     double m_share = 1;
+    /// Own demand in the previous heartbeat. It is as old as what is known of the other hosts: with the present demand
+    /// every host saw itself ahead of the others while demand grew, and the shares added up to more than the limit.
+    double m_sentRate = 0;
     double m_tokens = 0;
     TimePoint m_tokensAt {};
     /// Own open flows up to which this host admits until the next update.
--- a/src/libbergamot/probing/flow_prober.cpp
+++ b/src/libbergamot/probing/flow_prober.cpp
@@ -136,10 +136,16 @@
         return;
     }
     const auto found = m_flows.find(flow);
-    if (found == m_flows.end())
+    if (found == m_flows.end()) {
         start(flow, packet, now);
-    else
-        note(found->second, packet, now);
+        return;
+    }
+    const bool wasProbed = found->second.probesSent > 0;
+    note(found->second, packet, now);
+    const std::optional<TimePoint> deadline = deadlineOf(found->second);
+    // An answer to a probe starts a new idle time, which may end before the next probe would have been due.
+    if (wasProbed && deadline)
+        enqueue(flow, found->second, *deadline);
 }
 
 void DefaultFlowProber::start(std::uint64_t flow, const PacketView& packet, TimePoint now)
--- /dev/null
+++ b/src/libbergamot/probing/flow_prober_test.cpp
@@ -0,0 +1,133 @@
+#include "bergamotroute/entry_host.h"
+#include "bergamotroute/flow_prober.h"
+#include "bergamotroute/packet_builder.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+
+namespace {
+
+constexpr std::uint64_t flow = 99;
+
+FlowKey callerKey()
+{
+    std::error_code error;
+    return { IpAddress::parse("192.0.2.7", error), IpAddress::parse("198.51.100.1", error), 40'000, 443,
+        TransportProtocol::Tcp };
+}
+
+struct Probing {
+    Probing()
+    {
+        schema::Configuration configuration;
+        schema::Service* service = configuration.add_services();
+        service->set_address("198.51.100.1");
+        service->add_ports(443);
+        service->set_protocol(schema::TCP);
+        service->set_probe_idle_seconds(60);
+        prober->handleConfiguration(configuration, clock.now());
+    }
+
+    void packet(std::uint8_t flags, std::uint32_t sequence, std::uint32_t acknowledgement)
+    {
+        const std::vector<std::byte> bytes = buildTcpPacket(callerKey(), { flags, sequence, acknowledgement });
+        std::error_code error;
+        prober->handlePacket(flow, parsePacket(bytes, error), clock.now());
+    }
+
+    std::vector<ProbeAction> pass(Duration time)
+    {
+        clock.advance(time);
+        return prober->advance(clock.now());
+    }
+
+    ManualClock clock;
+    std::unique_ptr<FlowProber> prober = makeFlowProber({});
+};
+
+}
+
+TEST_CASE("an idle flow gets a keep-alive below the acknowledged number; guards against probes that stacks ignore")
+{
+    Probing probing;
+    probing.packet(TcpSyn, 1'000, 0);
+    probing.packet(TcpAck, 1'001, 5'000);
+    CHECK(probing.prober->nextDeadline() <= probing.clock.now() + Duration(60'000));
+    CHECK(probing.pass(Duration(59'999)).empty());
+    const std::vector<ProbeAction> actions = probing.pass(Duration(1));
+    REQUIRE(actions.size() == 1);
+    CHECK(actions[0].kind == ProbeAction::Kind::Probe);
+    std::error_code error;
+    const PacketView probe = parsePacket(actions[0].packet, error);
+    REQUIRE_FALSE(error);
+    CHECK(probe.flow.source == callerKey().destination);
+    CHECK(probe.flow.destinationPort == callerKey().sourcePort);
+    CHECK(probe.sequence == 4'999);
+    CHECK(probe.acknowledgement == 1'001);
+    CHECK(probe.tcpFlags == TcpAck);
+}
+
+TEST_CASE("a live idle feed is never ended; guards against resets of feeds that are only quiet")
+{
+    Probing probing;
+    probing.packet(TcpAck, 1'001, 5'000);
+    for (int round = 0; round < 20; ++round) {
+        const std::vector<ProbeAction> actions = probing.pass(Duration(60'000));
+        REQUIRE(actions.size() == 1);
+        CHECK(actions[0].kind == ProbeAction::Kind::Probe);
+        probing.packet(TcpAck, 1'001, 5'000);
+    }
+}
+
+TEST_CASE("after five unanswered probes both ends get a reset; guards against flows that stay silent for good")
+{
+    Probing probing;
+    probing.packet(TcpAck, 1'001, 5'000);
+    CHECK(probing.pass(Duration(60'000)).size() == 1);
+    for (int probe = 2; probe <= 5; ++probe) {
+        CHECK(probing.pass(Duration(74'999)).empty());
+        CHECK(probing.pass(Duration(1)).size() == 1);
+    }
+    const std::vector<ProbeAction> actions = probing.pass(Duration(75'000));
+    REQUIRE(actions.size() == 2);
+    CHECK(actions[0].kind == ProbeAction::Kind::ResetTarget);
+    CHECK(actions[1].kind == ProbeAction::Kind::ResetCaller);
+    std::error_code error;
+    const PacketView toTarget = parsePacket(actions[0].packet, error);
+    CHECK(toTarget.flow == callerKey());
+    CHECK(toTarget.sequence == 1'001);
+    CHECK((toTarget.tcpFlags & TcpRst) != 0);
+    const PacketView toCaller = parsePacket(actions[1].packet, error);
+    CHECK(toCaller.flow.destination == callerKey().source);
+    CHECK(toCaller.sequence == 5'000);
+    CHECK(probing.pass(Duration(3'600'000)).empty());
+    CHECK(probing.prober->nextDeadline() == noDeadline);
+}
+
+TEST_CASE("ended and forgotten flows are not probed; guards against resets that hit a new connection")
+{
+    Probing probing;
+    probing.packet(TcpAck, 1'001, 5'000);
+    probing.packet(TcpRst, 1'001, 0);
+    CHECK(probing.pass(Duration(60'000)).empty());
+    probing.packet(TcpAck, 1'001, 5'000);
+    probing.prober->forget(flow);
+    CHECK(probing.pass(Duration(60'000)).empty());
+    probing.packet(TcpFin | TcpAck, 1'001, 5'000);
+    CHECK(probing.pass(Duration(60'000)).empty());
+}
+
+TEST_CASE("an old copy does not turn numbers back; guards against probes with a number that was acknowledged long ago")
+{
+    Probing probing;
+    probing.packet(TcpAck, 4'294'967'290U, 5'000);
+    probing.packet(TcpAck, 10, 6'000);
+    probing.packet(TcpAck, 4'294'967'290U, 5'000);
+    const std::vector<ProbeAction> actions = probing.pass(Duration(60'000));
+    REQUIRE(actions.size() == 1);
+    std::error_code error;
+    const PacketView probe = parsePacket(actions[0].packet, error);
+    CHECK(probe.sequence == 5'999);
+    CHECK(probe.acknowledgement == 10);
+}
--- /dev/null
+++ b/src/libbergamot/targets/health_monitor_test.cpp
@@ -0,0 +1,113 @@
+#include "targets/health_monitor.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace bergamotroute;
+
+namespace {
+
+constexpr TargetId target = 42;
+const TimePoint start { Duration(1'000'000) };
+
+MembershipView viewOf(HostIndex self)
+{
+    MembershipView view;
+    view.self = self;
+    for (HostIndex i = 0; i < 9; ++i)
+        view.members.push_back(
+            { i, "host" + std::to_string(i), "dc" + std::to_string(i % 3), 1, schema::MEMBER_READY });
+    return view;
+}
+
+/// The monitors of nine hosts that hear each other's statuses.
+struct Group {
+    Group()
+    {
+        for (HostIndex i = 0; i < 9; ++i) {
+            monitors.emplace_back(Duration(1'000));
+            monitors.back().handleView(viewOf(i));
+            monitors.back().watch(target, "dc1", start);
+        }
+    }
+
+    /// Runs one round of checks.
+    /// @param failing hosts whose checks fail.
+    void check(const std::vector<HostIndex>& failing)
+    {
+        now += Duration(1'000);
+        checkers.clear();
+        for (HostIndex i = 0; i < 9; ++i) {
+            if (monitors[i].due(now).empty())
+                continue;
+            checkers.push_back(i);
+            const bool fails = std::find(failing.begin(), failing.end(), i) != failing.end();
+            monitors[i].handleResult(target, !fails, now);
+        }
+        for (HostIndex from = 0; from < 9; ++from) {
+            for (const schema::TargetStatus& status : monitors[from].takeStatuses()) {
+                for (HostIndex to = 0; to < 9; ++to) {
+                    if (to != from)
+                        monitors[to].handleStatus(from, status.target_id(), status.healthy(), now);
+                }
+            }
+        }
+    }
+
+    std::vector<HealthMonitor> monitors;
+    std::vector<HostIndex> checkers;
+    TimePoint now = start;
+};
+
+}
+
+TEST_CASE("three hosts of the target's data centre check it; guards against checks by every host or by distant ones")
+{
+    Group group;
+    group.check({});
+    CHECK(group.checkers == std::vector<HostIndex> { 1, 4, 7 });
+}
+
+TEST_CASE("one failing checker is not enough; guards against a target lost to one host's broken path")
+{
+    Group group;
+    for (int i = 0; i < 10; ++i)
+        group.check({ 4 });
+    for (const HealthMonitor& monitor : group.monitors)
+        CHECK(monitor.isHealthy(target, group.now));
+}
+
+TEST_CASE("a majority after three failures in a row decides on all hosts; guards against flows to a dead target")
+{
+    Group group;
+    group.check({ 1, 7 });
+    group.check({ 1, 7 });
+    CHECK(group.monitors[0].isHealthy(target, group.now));
+    group.check({ 1, 7 });
+    for (const HealthMonitor& monitor : group.monitors)
+        CHECK_FALSE(monitor.isHealthy(target, group.now));
+    group.check({});
+    CHECK_FALSE(group.monitors[0].isHealthy(target, group.now));
+    group.check({});
+    CHECK(group.monitors[0].isHealthy(target, group.now));
+}
+
+TEST_CASE("a verdict that is not repeated ends; guards against a target shut out by a checker that has died")
+{
+    Group group;
+    for (int i = 0; i < 3; ++i)
+        group.check({ 1, 4, 7 });
+    CHECK_FALSE(group.monitors[0].isHealthy(target, group.now));
+    CHECK(group.monitors[0].isHealthy(target, group.now + Duration(10'000)));
+}
+
+TEST_CASE("exactly one checker passes on load reports; guards against heartbeats that repeat each report three times")
+{
+    Group group;
+    group.check({});
+    std::size_t reporters = 0;
+    for (const HealthMonitor& monitor : group.monitors)
+        reporters += monitor.isLoadReporter(target, group.now) ? 1 : 0;
+    CHECK(reporters == 1);
+}
