--- /dev/null
+++ b/src/libbergamot/configuration/configuration_machine.cpp
@@ -0,0 +1,185 @@
+#include "bergamotroute/configuration_machine.h"
+
+#include "configuration/change.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    constexpr int maxRequestIdLength = 128;
+
+    bool isMemberChange(const schema::Change& change)
+    {
+        return change.has_add_control_member() || change.change_case() == schema::Change::kPromoteControlMember
+            || change.change_case() == schema::Change::kRemoveControlMember;
+    }
+
+    CommandVerdict checkForm(const schema::Command& command)
+    {
+        if (command.request_id().empty() || command.request_id().size() > maxRequestIdLength)
+            return { ResultCode::CommandMalformed, "a request identifier has 1 to 128 characters" };
+        if (command.changes().empty())
+            return { ResultCode::CommandMalformed, "the command has no changes" };
+        if (changesMembers(command) && command.changes_size() > 1)
+            return { ResultCode::CommandMalformed, "a change of control members must be alone in its command" };
+        return {};
+    }
+
+    CommandVerdict checkRevision(const schema::Command& command, std::uint64_t revision)
+    {
+        if (command.expect_revision() == 0 || command.expect_revision() == revision)
+            return {};
+        return { ResultCode::RevisionStale,
+            "expected revision " + std::to_string(command.expect_revision()) + ", current revision is "
+                + std::to_string(revision) };
+    }
+
+    /// Applies all changes to a configuration that the caller discards after a refusal.
+    CommandVerdict applyChanges(schema::Configuration& configuration, const schema::Command& command)
+    {
+        for (const schema::Change& change : command.changes()) {
+            if (CommandVerdict verdict = applyChange(configuration, change, command.force()); !verdict.accepted())
+                return verdict;
+        }
+        return {};
+    }
+
+    /// The key must be the same on all hosts and not be known to callers; member identities are random.
+    std::uint64_t makeFlowHashKey(const schema::Configuration& configuration, const schema::LogEntry& entry)
+    {
+        std::string seed = entry.command().request_id() + std::to_string(entry.time_ms());
+        for (const schema::ControlMember& member : configuration.control_members())
+            seed += member.identity();
+        const std::uint64_t key = XXH3_64bits(seed.data(), seed.size());
+        return key == 0 ? 1 : key;
+    }
+
+    schema::CommandResult acceptance(const std::string& requestId, std::uint64_t revision)
+    {
+        schema::CommandResult result;
+        result.set_outcome(schema::OUTCOME_ACCEPTED);
+        result.set_revision(revision);
+        result.set_request_id(requestId);
+        return result;
+    }
+
+}
+
+std::uint64_t commandFingerprint(const schema::Command& command)
+{
+    const std::string bytes = command.SerializeAsString();
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+bool changesMembers(const schema::Command& command)
+{
+    return std::any_of(command.changes().begin(), command.changes().end(), isMemberChange);
+}
+
+schema::CommandResult refusal(
+    const std::string& requestId, ResultCode code, std::string_view message, std::uint64_t revision)
+{
+    schema::CommandResult result;
+    result.set_outcome(schema::OUTCOME_NOT_ACCEPTED);
+    result.set_revision(revision);
+    result.set_code(static_cast<std::uint32_t>(code));
+    result.set_message(std::string(message));
+    result.set_request_id(requestId);
+    return result;
+}
+
+CommandVerdict ConfigurationMachine::check(const schema::Command& command) const
+{
+    if (CommandVerdict verdict = checkForm(command); !verdict.accepted())
+        return verdict;
+    if (CommandVerdict verdict = checkRevision(command, m_configuration.revision()); !verdict.accepted())
+        return verdict;
+    schema::Configuration copy = m_configuration;
+    return applyChanges(copy, command);
+}
+
+const schema::CommandResult* ConfigurationMachine::findRepeated(const schema::Command& command)
+{
+    const schema::RememberedResult* known = m_memory.find(command.request_id());
+    if (!known)
+        return nullptr;
+    if (known->fingerprint() == commandFingerprint(command))
+        return &known->result();
+    m_reusedAnswer = refusal(command.request_id(), ResultCode::RequestIdReused,
+        "the request identifier belongs to another command", m_configuration.revision());
+    return &m_reusedAnswer;
+}
+
+schema::CommandResult ConfigurationMachine::decide(const schema::LogEntry& entry)
+{
+    const schema::Command& command = entry.command();
+    CommandVerdict verdict = checkForm(command);
+    if (verdict.accepted())
+        verdict = checkRevision(command, m_configuration.revision());
+    if (verdict.accepted() && entry.refused_code() != 0)
+        verdict = { static_cast<ResultCode>(entry.refused_code()),
+            make_error_code(static_cast<ResultCode>(entry.refused_code())).message() };
+    if (verdict.accepted() && command.changes_size() == 1)
+        verdict = applyChange(m_configuration, command.changes(0), command.force());
+    else if (verdict.accepted()) {
+        schema::Configuration copy = m_configuration;
+        verdict = applyChanges(copy, command);
+        if (verdict.accepted())
+            m_configuration.Swap(&copy);
+    }
+    if (!verdict.accepted())
+        return refusal(command.request_id(), verdict.code, verdict.message, m_configuration.revision());
+    if (m_configuration.flow_hash_key() == 0)
+        m_configuration.set_flow_hash_key(makeFlowHashKey(m_configuration, entry));
+    m_configuration.set_revision(entry.index());
+    m_configuration.set_term(entry.term());
+    return acceptance(command.request_id(), entry.index());
+}
+
+schema::CommandResult ConfigurationMachine::apply(const schema::LogEntry& entry)
+{
+    m_appliedIndex = entry.index();
+    m_appliedTerm = entry.term();
+    if (!entry.has_command())
+        return {};
+    if (const schema::CommandResult* known = findRepeated(entry.command()))
+        return *known;
+    schema::CommandResult result = decide(entry);
+    remember(entry, result);
+    return result;
+}
+
+void ConfigurationMachine::remember(const schema::LogEntry& entry, const schema::CommandResult& result)
+{
+    schema::RememberedResult remembered;
+    *remembered.mutable_result() = result;
+    remembered.set_time_ms(entry.time_ms());
+    remembered.set_fingerprint(commandFingerprint(entry.command()));
+    m_memory.add(std::move(remembered));
+}
+
+schema::Snapshot ConfigurationMachine::snapshot() const
+{
+    schema::Snapshot snapshot;
+    snapshot.set_last_index(m_appliedIndex);
+    snapshot.set_last_term(m_appliedTerm);
+    *snapshot.mutable_configuration() = m_configuration;
+    for (const schema::RememberedResult& result : m_memory.results())
+        *snapshot.add_results() = result;
+    return snapshot;
+}
+
+void ConfigurationMachine::restore(const schema::Snapshot& snapshot)
+{
+    m_appliedIndex = snapshot.last_index();
+    m_appliedTerm = snapshot.last_term();
+    m_configuration = snapshot.configuration();
+    m_memory.clear();
+    for (const schema::RememberedResult& result : snapshot.results())
+        m_memory.add(result);
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/quorum/commands.cpp
@@ -0,0 +1,259 @@
+#include "quorum/quorum_state.h"
+
+#include <algorithm>
+
+namespace bergamotroute {
+
+void QuorumLog::Implementation::answerUnknown(
+    std::uint64_t token, const std::string& requestId, ResultCode code, std::string_view message)
+{
+    schema::CommandResult result = refusal(requestId, code, message, machine.configuration().revision());
+    result.set_outcome(schema::OUTCOME_UNKNOWN);
+    sink.answer(token, result);
+}
+
+bool QuorumLog::Implementation::answerWithoutLog(std::uint64_t token, const schema::Command& command, TimePoint now)
+{
+    const std::string& id = command.request_id();
+    constexpr std::size_t maxRequestIdLength = 128;
+    if (id.empty() || id.size() > maxRequestIdLength) {
+        sink.answer(token, refusal(id, ResultCode::CommandMalformed, "a request identifier has 1 to 128 characters", 0));
+        return true;
+    }
+    if (const schema::CommandResult* known = machine.findRepeated(command)) {
+        sink.answer(token, *known);
+        return true;
+    }
+    if (isStopped())
+        answerUnknown(token, id, storageFailed ? ResultCode::StorageFailed : ResultCode::IdentityRetired, "stopped");
+    else if (role != QuorumRole::Leader)
+        answerUnknown(token, id, ResultCode::NotLeader, "leader: " + (leader.empty() ? "not known" : leader));
+    else if (!isLeaseValid(now))
+        answerUnknown(token, id, ResultCode::NoQuorum, "no majority of control hosts answers");
+    else
+        return false;
+    return true;
+}
+
+void QuorumLog::Implementation::handleCommand(
+    std::uint64_t token, const schema::Command& command, TimePoint now, std::uint64_t wallMs)
+{
+    if (answerWithoutLog(token, command, now))
+        return;
+    waiting.push_back({ token, command, wallMs, now + options.commandTimeout });
+    appendWaiting(now);
+}
+
+bool QuorumLog::Implementation::canAppend(const schema::Command& command) const
+{
+    // A member change is judged against the state before it, so everything before it must be applied.
+    return !changesMembers(command) || commitIndex == window.lastIndex();
+}
+
+void QuorumLog::Implementation::appendWaiting(TimePoint now)
+{
+    while (!waiting.empty() && canAppend(waiting.front().command)) {
+        const WaitingCommand command = std::move(waiting.front());
+        waiting.pop_front();
+        appendCommand(command, now);
+    }
+}
+
+void QuorumLog::Implementation::appendCommand(const WaitingCommand& command, TimePoint now)
+{
+    schema::LogEntry entry;
+    *entry.mutable_command() = command.command;
+    entry.set_time_ms(std::max(command.wallMs, lastEntryTimeMs));
+    if (changesMembers(command.command))
+        judgeMemberChange(entry, now);
+    pending.emplace(window.lastIndex() + 1, PendingAnswer { command.token, command.command.request_id(), command.deadline });
+    appendEntries({ std::move(entry) }, now);
+}
+
+void QuorumLog::Implementation::judgeMemberChange(schema::LogEntry& entry, TimePoint now)
+{
+    const schema::Command& command = entry.command();
+    if (machine.findRepeated(command) || !machine.check(command).accepted())
+        return;
+    const ResultCode code = checkMemberChange(command, now);
+    entry.set_refused_code(static_cast<std::uint32_t>(code));
+    if (code != ResultCode::Ok)
+        return;
+    ConfigurationMachine preview;
+    preview.restore(machine.snapshot());
+    preview.apply(entry);
+    *entry.mutable_members() = preview.configuration().control_members();
+}
+
+ResultCode QuorumLog::Implementation::checkMemberChange(const schema::Command& command, TimePoint now) const
+{
+    const schema::Change& change = command.changes(0);
+    if (change.change_case() == schema::Change::kPromoteControlMember) {
+        const auto found = progress.find(change.promote_control_member());
+        const bool caughtUp = found != progress.end() && found->second.heard && found->second.match >= commitIndex
+            && now - found->second.lastHeard < options.electionTimeout;
+        return caughtUp ? ResultCode::Ok : ResultCode::MemberNotCaughtUp;
+    }
+    if (change.change_case() != schema::Change::kRemoveControlMember || command.force())
+        return ResultCode::Ok;
+    std::vector<schema::ControlMember> remaining;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(remaining), [&](const schema::ControlMember& member) {
+        return member.voter() && member.identity() != change.remove_control_member();
+    });
+    const bool keepsMajority = reachableVoters(remaining, now) >= remaining.size() / 2 + 1;
+    return keepsMajority ? ResultCode::Ok : ResultCode::MajorityLoss;
+}
+
+void QuorumLog::Implementation::appendEntries(std::vector<schema::LogEntry> entries, TimePoint now)
+{
+    PersistRequest request = newPersistRequest();
+    bool membersChanged = false;
+    for (schema::LogEntry& entry : entries) {
+        entry.set_term(hardState.term());
+        entry.set_index(window.lastIndex() + 1);
+        lastEntryTimeMs = entry.time_ms();
+        membersChanged = membersChanged || !entry.members().empty();
+        request.entries.push_back(entry);
+        window.append(std::move(entry));
+    }
+    persist(std::move(request));
+    if (membersChanged) {
+        refreshMembers();
+        rebuildProgress(now);
+    }
+    replicateAll(now);
+}
+
+void QuorumLog::Implementation::commitUpTo(std::uint64_t index, TimePoint now)
+{
+    const std::uint64_t revision = machine.configuration().revision();
+    while (commitIndex < std::min(index, window.lastIndex())) {
+        ++commitIndex;
+        applyEntry(window.at(commitIndex), now);
+    }
+    if (machine.configuration().revision() != revision)
+        sink.configurationChanged(machine.configuration());
+    takeSnapshotIfDue();
+}
+
+void QuorumLog::Implementation::applyEntry(const schema::LogEntry& entry, TimePoint now)
+{
+    const schema::CommandResult result = machine.apply(entry);
+    const auto [first, last] = pending.equal_range(entry.index());
+    for (auto waiter = first; waiter != last; ++waiter)
+        sink.answer(waiter->second.token, result);
+    pending.erase(first, last);
+    if (!entry.members().empty())
+        afterMemberChange(entry, now);
+}
+
+void QuorumLog::Implementation::afterMemberChange(const schema::LogEntry& entry, TimePoint now)
+{
+    // Removed members learn of the commit with one last heartbeat.
+    if (role == QuorumRole::Leader) {
+        sendHeartbeats(now);
+        std::erase_if(progress, [this](const auto& item) {
+            return std::none_of(members.begin(), members.end(),
+                [&item](const schema::ControlMember& member) { return member.identity() == item.first; });
+        });
+    }
+    const schema::Change& change = entry.command().changes(0);
+    const bool removesSelf = change.change_case() == schema::Change::kRemoveControlMember
+        && change.remove_control_member() == options.identity;
+    if (!removesSelf)
+        return;
+    hardState.set_retired(true);
+    persistHardState();
+    stop(ResultCode::IdentityRetired, "this member was removed");
+}
+
+void QuorumLog::Implementation::takeSnapshotIfDue()
+{
+    const std::uint64_t previous = newestSnapshot ? newestSnapshot->last_index() : 0;
+    if (commitIndex - previous < options.snapshotEntries)
+        return;
+    newestSnapshot = machine.snapshot();
+    ++snapshotsTaken;
+    // Half of the entries stay, so that a member that is a little behind needs no snapshot.
+    const std::uint64_t kept = options.snapshotEntries / 2;
+    window.compact(std::max(window.baseIndex(), commitIndex - kept));
+    persistSnapshot();
+}
+
+void QuorumLog::Implementation::expireAnswers(TimePoint now)
+{
+    while (!waiting.empty() && waiting.front().deadline <= now) {
+        const WaitingCommand expired = std::move(waiting.front());
+        waiting.pop_front();
+        answerUnknown(expired.token, expired.command.request_id(), ResultCode::MemberChangePending, "waited too long");
+    }
+    while (!pending.empty() && pending.begin()->second.deadline <= now) {
+        const PendingAnswer expired = pending.begin()->second;
+        pending.erase(pending.begin());
+        answerUnknown(expired.token, expired.requestId, ResultCode::OutcomeUnknown, "ask again with the same identifier");
+    }
+}
+
+void QuorumLog::Implementation::abandonAnswers()
+{
+    for (const WaitingCommand& command : waiting)
+        answerUnknown(command.token, command.command.request_id(), ResultCode::NotLeader, "leadership ended");
+    waiting.clear();
+    for (const auto& [index, answer] : pending)
+        answerUnknown(answer.token, answer.requestId, ResultCode::OutcomeUnknown, "ask again with the same identifier");
+    pending.clear();
+}
+
+std::vector<schema::LogEntry> QuorumLog::Implementation::history(std::uint64_t since) const
+{
+    std::vector<schema::LogEntry> entries;
+    for (std::uint64_t index = std::max(since, window.baseIndex()) + 1; index <= commitIndex; ++index) {
+        const schema::LogEntry& entry = window.at(index);
+        const schema::RememberedResult* known = machine.findResult(entry.command().request_id());
+        if (known && known->result().outcome() == schema::OUTCOME_ACCEPTED && known->result().revision() == index)
+            entries.push_back(entry);
+    }
+    return entries;
+}
+
+schema::ControlHostState QuorumLog::Implementation::dump(TimePoint now) const
+{
+    static constexpr const char* roleNames[] = { "follower", "candidate", "candidate", "leader", "stopped" };
+    schema::ControlHostState state;
+    state.set_host(options.host);
+    state.set_data_centre(options.dataCentre);
+    state.set_identity(options.identity);
+    const bool learner = role == QuorumRole::Follower && !isVoter(options.identity);
+    state.set_role(learner ? "learner" : roleNames[static_cast<std::size_t>(role)]);
+    state.set_term(hardState.term());
+    state.set_leader(leader);
+    state.set_commit_index(commitIndex);
+    state.set_last_index(window.lastIndex());
+    state.set_first_index(window.baseIndex() + 1);
+    state.set_lease_valid(isLeaseValid(now));
+    state.set_storage_failed(storageFailed);
+    state.set_remembered_requests(machine.rememberedCount());
+    for (const schema::ControlMember& member : members) {
+        schema::ControlMemberState& shown = *state.add_members();
+        shown.set_identity(member.identity());
+        shown.set_host(member.host());
+        shown.set_voter(member.voter());
+        const auto found = progress.find(member.identity());
+        if (found != progress.end() && found->second.heard) {
+            shown.set_match_index(found->second.match);
+            shown.set_last_heard_ms_ago(static_cast<std::uint64_t>((now - found->second.lastHeard).count()));
+        } else if (member.identity() == options.identity) {
+            shown.set_match_index(window.lastIndex());
+        }
+    }
+    const std::pair<const char*, std::uint64_t> counters[] = { { "elections", elections },
+        { "snapshots_installed", snapshotsInstalled }, { "snapshots_taken", snapshotsTaken } };
+    for (const auto& [name, value] : counters) {
+        schema::CounterState& counter = *state.add_counters();
+        counter.set_name(name);
+        counter.set_value(value);
+    }
+    return state;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/quorum/election.cpp
@@ -0,0 +1,165 @@
+#include "quorum/quorum_state.h"
+
+namespace bergamotroute {
+
+void QuorumLog::Implementation::resetElectionDeadline(TimePoint now)
+{
+    // A random part keeps members from standing for election at the same moment.
+    const auto spread = static_cast<std::uint64_t>(options.electionTimeout.count());
+    const auto jitter = static_cast<Duration::rep>(random() % (spread + 1));
+    electionDeadline = now + options.electionTimeout + Duration(jitter);
+}
+
+void QuorumLog::Implementation::becomeFollower(std::uint64_t term, const std::string& newLeader, TimePoint now)
+{
+    if (role == QuorumRole::Leader) {
+        abandonAnswers();
+        progress.clear();
+    }
+    if (term > hardState.term()) {
+        hardState.set_term(term);
+        hardState.clear_voted_for();
+        persistHardState();
+    }
+    role = QuorumRole::Follower;
+    votes.clear();
+    leader = newLeader;
+    if (!newLeader.empty()) {
+        lastLeaderContact = now;
+        hadLeaderContact = true;
+    }
+    resetElectionDeadline(now);
+}
+
+void QuorumLog::Implementation::requestVotes(bool preVote, std::uint64_t term)
+{
+    for (const schema::ControlMember& member : members) {
+        if (!member.voter() || member.identity() == options.identity)
+            continue;
+        schema::ControlMessage message = messageTo(member.identity());
+        schema::VoteRequest& request = *message.mutable_vote_request();
+        request.set_term(term);
+        request.set_candidate(options.identity);
+        request.set_last_index(window.lastIndex());
+        request.set_last_term(window.lastTerm());
+        request.set_pre_vote(preVote);
+        sendWhenDurable(std::move(message));
+    }
+}
+
+void QuorumLog::Implementation::startPreVote(TimePoint now)
+{
+    role = QuorumRole::PreCandidate;
+    leader.clear();
+    votes = { options.identity };
+    resetElectionDeadline(now);
+    requestVotes(true, hardState.term() + 1);
+    countVotes(now);
+}
+
+void QuorumLog::Implementation::startElection(TimePoint now)
+{
+    ++elections;
+    role = QuorumRole::Candidate;
+    hardState.set_term(hardState.term() + 1);
+    hardState.set_voted_for(options.identity);
+    persistHardState();
+    votePersist = requestedPersist;
+    votes = { options.identity };
+    resetElectionDeadline(now);
+    requestVotes(false, hardState.term());
+    countVotes(now);
+}
+
+bool QuorumLog::Implementation::hasRecentLeader(const std::string& candidate, TimePoint now) const
+{
+    if (role == QuorumRole::Leader)
+        return isLeaseValid(now);
+    // The lease of a leader belongs to its identity, so the leader itself may stand again at once.
+    return hadLeaderContact && candidate != leader && now - lastLeaderContact < options.electionTimeout;
+}
+
+bool QuorumLog::Implementation::grantsVote(const schema::VoteRequest& request, TimePoint now)
+{
+    // A vote against a leader heard within the election timeout would break the leader's lease.
+    if (hasRecentLeader(request.candidate(), now))
+        return false;
+    const bool upToDate = request.last_term() > window.lastTerm()
+        || (request.last_term() == window.lastTerm() && request.last_index() >= window.lastIndex());
+    if (request.pre_vote())
+        return upToDate && request.term() > hardState.term();
+    if (request.term() > hardState.term())
+        becomeFollower(request.term(), {}, now);
+    const bool free = hardState.voted_for().empty() || hardState.voted_for() == request.candidate();
+    if (request.term() < hardState.term() || !free || !upToDate)
+        return false;
+    if (hardState.voted_for().empty()) {
+        hardState.set_voted_for(request.candidate());
+        persistHardState();
+    }
+    resetElectionDeadline(now);
+    return true;
+}
+
+void QuorumLog::Implementation::handleVoteRequest(
+    const std::string& from, const schema::VoteRequest& request, TimePoint now)
+{
+    const bool granted = grantsVote(request, now);
+    schema::ControlMessage message = messageTo(from);
+    schema::VoteAnswer& answer = *message.mutable_vote_answer();
+    // A granted pre-vote names the term that it was asked for, so that the candidate can match it.
+    answer.set_term(granted && request.pre_vote() ? request.term() : hardState.term());
+    answer.set_granted(granted);
+    answer.set_voter(options.identity);
+    answer.set_pre_vote(request.pre_vote());
+    sendWhenDurable(std::move(message));
+}
+
+void QuorumLog::Implementation::handleVoteAnswer(const schema::VoteAnswer& answer, TimePoint now)
+{
+    const bool grantedPreVote = answer.pre_vote() && answer.granted();
+    if (!grantedPreVote && answer.term() > hardState.term()) {
+        becomeFollower(answer.term(), {}, now);
+        return;
+    }
+    const QuorumRole expected = answer.pre_vote() ? QuorumRole::PreCandidate : QuorumRole::Candidate;
+    const std::uint64_t expectedTerm = hardState.term() + (answer.pre_vote() ? 1 : 0);
+    if (!answer.granted() || role != expected || answer.term() != expectedTerm)
+        return;
+    votes.insert(answer.voter());
+    countVotes(now);
+}
+
+void QuorumLog::Implementation::countVotes(TimePoint now)
+{
+    std::size_t granted = 0;
+    for (const std::string& voter : votes)
+        granted += isVoter(voter) ? 1 : 0;
+    if (granted < majority())
+        return;
+    if (role == QuorumRole::PreCandidate)
+        startElection(now);
+    else if (role == QuorumRole::Candidate && completedPersist >= votePersist)
+        becomeLeader(now);
+}
+
+void QuorumLog::Implementation::becomeLeader(TimePoint now)
+{
+    role = QuorumRole::Leader;
+    leader = options.identity;
+    leaderSince = now;
+    votes.clear();
+    progress.clear();
+    durableIndex = window.lastIndex();
+    durableAt.clear();
+    sink.logEvent(ResultCode::Ok, "leads term " + std::to_string(hardState.term()));
+    // Entries of earlier terms are committed only through an entry of this term.
+    schema::LogEntry first;
+    first.set_time_ms(lastEntryTimeMs);
+    termFirstIndex = window.lastIndex() + 1;
+    rebuildProgress(now);
+    appendEntries({ std::move(first) }, now);
+    heartbeatDeadline = now + options.heartbeatInterval;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/quorum/quorum_log.cpp
@@ -0,0 +1,269 @@
+#include "bergamotroute/quorum_log.h"
+
+#include "quorum/quorum_state.h"
+
+#include <algorithm>
+
+namespace bergamotroute {
+
+QuorumLog::Implementation::Implementation(
+    QuorumOptions quorumOptions, StoredLog stored, QuorumSink& quorumSink, TimePoint now)
+    : options(std::move(quorumOptions))
+    , sink(quorumSink)
+    , random(options.seed)
+    , hardState(std::move(stored.hardState))
+    , machine(options.memory)
+    , lastLeaderContact(now)
+    , hadLeaderContact(hardState.term() > 0)
+{
+    hardState.set_identity(options.identity);
+    window.reset(stored.baseIndex, stored.baseTerm);
+    for (schema::LogEntry& entry : stored.entries)
+        window.append(std::move(entry));
+    if (stored.snapshot) {
+        newestSnapshot = std::move(stored.snapshot);
+        machine.restore(*newestSnapshot);
+        commitIndex = newestSnapshot->last_index();
+        // A crash between the two files of a received snapshot leaves a log that does not reach or match it.
+        if (window.termAt(commitIndex) != newestSnapshot->last_term())
+            window.reset(commitIndex, newestSnapshot->last_term());
+    }
+    durableIndex = window.lastIndex();
+    if (window.lastIndex() > window.baseIndex())
+        lastEntryTimeMs = window.at(window.lastIndex()).time_ms();
+    refreshMembers();
+    resetElectionDeadline(now);
+    if (hardState.retired())
+        stop(ResultCode::IdentityRetired, "this member was removed");
+}
+
+void QuorumLog::Implementation::form(const schema::Snapshot& snapshot, TimePoint now)
+{
+    if (isFormed() || isStopped())
+        return;
+    hardState.set_term(std::max(hardState.term(), snapshot.last_term()));
+    installSnapshot(snapshot);
+    resetElectionDeadline(now);
+    electionDeadline = now;
+}
+
+PersistRequest QuorumLog::Implementation::newPersistRequest()
+{
+    PersistRequest request;
+    request.id = ++requestedPersist;
+    return request;
+}
+
+void QuorumLog::Implementation::persist(PersistRequest request)
+{
+    if (!request.entries.empty())
+        durableAt.emplace_back(request.id, request.entries.back().index());
+    sink.persist(request);
+}
+
+void QuorumLog::Implementation::persistHardState()
+{
+    PersistRequest request = newPersistRequest();
+    request.hardState = hardState;
+    persist(std::move(request));
+}
+
+void QuorumLog::Implementation::persistSnapshot()
+{
+    PersistRequest request = newPersistRequest();
+    request.hardState = hardState;
+    request.snapshot = newestSnapshot;
+    request.baseIndex = window.baseIndex();
+    request.baseTerm = window.baseTerm();
+    for (std::uint64_t index = window.baseIndex() + 1; index <= window.lastIndex(); ++index)
+        request.entries.push_back(window.at(index));
+    persist(std::move(request));
+}
+
+void QuorumLog::Implementation::handlePersisted(std::uint64_t id, bool succeeded, TimePoint now)
+{
+    if (!succeeded) {
+        storageFailed = true;
+        stop(ResultCode::StorageFailed, "the log could not be made durable");
+        return;
+    }
+    completedPersist = std::max(completedPersist, id);
+    while (!durableAt.empty() && durableAt.front().first <= completedPersist) {
+        durableIndex = std::max(durableIndex, durableAt.front().second);
+        durableAt.pop_front();
+    }
+    while (!heldMessages.empty() && heldMessages.front().first <= completedPersist) {
+        const schema::ControlMessage message = std::move(heldMessages.front().second);
+        heldMessages.pop_front();
+        sink.send(message);
+    }
+    if (role == QuorumRole::Candidate)
+        countVotes(now);
+    if (role == QuorumRole::Leader)
+        advanceCommit(now);
+}
+
+schema::ControlMessage QuorumLog::Implementation::messageTo(const std::string& identity) const
+{
+    schema::ControlMessage message;
+    message.set_from(options.identity);
+    message.set_to(identity);
+    return message;
+}
+
+void QuorumLog::Implementation::sendWhenDurable(schema::ControlMessage message)
+{
+    if (completedPersist >= requestedPersist)
+        sink.send(message);
+    else
+        heldMessages.emplace_back(requestedPersist, std::move(message));
+}
+
+void QuorumLog::Implementation::sendNow(schema::ControlMessage message) { sink.send(message); }
+
+void QuorumLog::Implementation::stop(ResultCode code, std::string_view detail)
+{
+    if (isStopped())
+        return;
+    role = QuorumRole::Stopped;
+    leader.clear();
+    heldMessages.clear();
+    abandonAnswers();
+    progress.clear();
+    sink.logEvent(code, detail);
+}
+
+void QuorumLog::Implementation::refreshMembers()
+{
+    const std::uint64_t snapshotIndex = newestSnapshot ? newestSnapshot->last_index() : 0;
+    for (std::uint64_t index = window.lastIndex(); index > window.baseIndex() && index > snapshotIndex; --index) {
+        const auto& changed = window.at(index).members();
+        if (changed.empty())
+            continue;
+        members.assign(changed.begin(), changed.end());
+        return;
+    }
+    members.clear();
+    if (newestSnapshot) {
+        const auto& known = newestSnapshot->configuration().control_members();
+        members.assign(known.begin(), known.end());
+    }
+}
+
+bool QuorumLog::Implementation::isVoter(const std::string& identity) const
+{
+    return std::any_of(members.begin(), members.end(),
+        [&identity](const schema::ControlMember& member) { return member.voter() && member.identity() == identity; });
+}
+
+std::size_t QuorumLog::Implementation::voterCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [](const schema::ControlMember& member) { return member.voter(); }));
+}
+
+void QuorumLog::Implementation::advance(TimePoint now)
+{
+    if (isStopped())
+        return;
+    expireAnswers(now);
+    if (role == QuorumRole::Leader) {
+        checkLeaderContact(now);
+        if (role == QuorumRole::Leader && now >= heartbeatDeadline)
+            sendHeartbeats(now);
+        return;
+    }
+    if (now < electionDeadline)
+        return;
+    if (isVoter(options.identity))
+        startPreVote(now);
+    else
+        resetElectionDeadline(now);
+}
+
+TimePoint QuorumLog::Implementation::nextDeadline() const
+{
+    if (isStopped())
+        return noDeadline;
+    TimePoint next = role == QuorumRole::Leader ? heartbeatDeadline : electionDeadline;
+    for (const WaitingCommand& command : waiting)
+        next = std::min(next, command.deadline);
+    if (!pending.empty())
+        next = std::min(next, pending.begin()->second.deadline);
+    return next;
+}
+
+QuorumLog::QuorumLog(QuorumOptions options, StoredLog stored, QuorumSink& sink, TimePoint now)
+    : m_implementation(std::make_unique<Implementation>(std::move(options), std::move(stored), sink, now))
+{
+}
+
+QuorumLog::~QuorumLog() = default;
+
+void QuorumLog::handleMessage(const schema::ControlMessage& message, TimePoint now)
+{
+    Implementation& self = *m_implementation;
+    if (self.isStopped() || message.to() != self.options.identity)
+        return;
+    switch (message.body_case()) {
+    case schema::ControlMessage::kVoteRequest:
+        self.handleVoteRequest(message.from(), message.vote_request(), now);
+        break;
+    case schema::ControlMessage::kVoteAnswer:
+        self.handleVoteAnswer(message.vote_answer(), now);
+        break;
+    case schema::ControlMessage::kAppendRequest:
+        self.handleAppendRequest(message.append_request(), now);
+        break;
+    case schema::ControlMessage::kAppendAnswer:
+        self.handleAppendAnswer(message.append_answer(), now);
+        break;
+    case schema::ControlMessage::kSnapshotRequest:
+        self.handleSnapshotRequest(message.snapshot_request(), now);
+        break;
+    default:
+        break;
+    }
+}
+
+void QuorumLog::handleCommand(
+    std::uint64_t token, const schema::Command& command, TimePoint now, std::uint64_t wallMs)
+{
+    m_implementation->handleCommand(token, command, now, wallMs);
+}
+
+void QuorumLog::handlePersisted(std::uint64_t id, bool succeeded, TimePoint now)
+{
+    m_implementation->handlePersisted(id, succeeded, now);
+}
+
+void QuorumLog::advance(TimePoint now) { m_implementation->advance(now); }
+
+TimePoint QuorumLog::nextDeadline() const { return m_implementation->nextDeadline(); }
+
+void QuorumLog::form(const schema::Snapshot& snapshot, TimePoint now) { m_implementation->form(snapshot, now); }
+
+bool QuorumLog::isFormed() const { return m_implementation->isFormed(); }
+
+bool QuorumLog::isLeaseValid(TimePoint now) const { return m_implementation->isLeaseValid(now); }
+
+QuorumRole QuorumLog::role() const { return m_implementation->role; }
+
+const schema::Configuration& QuorumLog::configuration() const { return m_implementation->machine.configuration(); }
+
+const std::vector<schema::ControlMember>& QuorumLog::members() const { return m_implementation->members; }
+
+const std::string& QuorumLog::leader() const { return m_implementation->leader; }
+
+const schema::RememberedResult* QuorumLog::findResult(std::string_view requestId) const
+{
+    return m_implementation->machine.findResult(requestId);
+}
+
+std::vector<schema::LogEntry> QuorumLog::history(std::uint64_t since) const { return m_implementation->history(since); }
+
+bool QuorumLog::hasHistorySince(std::uint64_t since) const { return since >= m_implementation->window.baseIndex(); }
+
+schema::ControlHostState QuorumLog::dump(TimePoint now) const { return m_implementation->dump(now); }
+
+}
--- /dev/null
+++ b/src/libbergamot/quorum/quorum_state.h
@@ -0,0 +1,170 @@
+#pragma once
+
+/// @file
+/// Implementation of QuorumLog. Its methods are in quorum_log.cpp (life cycle and persistence), election.cpp,
+/// replication.cpp (leader), following.cpp (follower) and commands.cpp.
+
+#include "bergamotroute/quorum_log.h"
+#include "quorum/log_window.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+namespace bergamotroute {
+
+/// What a leader knows of another member.
+struct Progress {
+    std::uint64_t next = 1;
+    std::uint64_t match = 0;
+    /// Last index of the entries on their way; zero if none are.
+    std::uint64_t inFlightUpTo = 0;
+    TimePoint inFlightSince {};
+    /// Newest time of sending that the member has answered.
+    TimePoint acknowledgedSent {};
+    TimePoint lastHeard {};
+    bool heard = false;
+};
+
+/// A command that waits for its place in the log.
+struct WaitingCommand {
+    std::uint64_t token = 0;
+    schema::Command command;
+    std::uint64_t wallMs = 0;
+    TimePoint deadline;
+};
+
+/// A command in the log that waits for its commit.
+struct PendingAnswer {
+    std::uint64_t token = 0;
+    std::string requestId;
+    TimePoint deadline;
+};
+
+class QuorumLog::Implementation {
+public:
+    Implementation(QuorumOptions quorumOptions, StoredLog stored, QuorumSink& quorumSink, TimePoint now);
+
+    // Life cycle and persistence.
+    void form(const schema::Snapshot& snapshot, TimePoint now);
+    void handlePersisted(std::uint64_t id, bool succeeded, TimePoint now);
+    void advance(TimePoint now);
+    TimePoint nextDeadline() const;
+    bool isFormed() const { return window.lastIndex() > 0; }
+    schema::ControlHostState dump(TimePoint now) const;
+    std::vector<schema::LogEntry> history(std::uint64_t since) const;
+    PersistRequest newPersistRequest();
+    void persist(PersistRequest request);
+    void persistHardState();
+    void sendWhenDurable(schema::ControlMessage message);
+    void sendNow(schema::ControlMessage message);
+    schema::ControlMessage messageTo(const std::string& identity) const;
+    void stop(ResultCode code, std::string_view detail);
+    bool isStopped() const { return role == QuorumRole::Stopped; }
+
+    // Members.
+    void refreshMembers();
+    bool isVoter(const std::string& identity) const;
+    std::size_t voterCount() const;
+    std::size_t majority() const { return voterCount() / 2 + 1; }
+
+    // Elections.
+    void resetElectionDeadline(TimePoint now);
+    void becomeFollower(std::uint64_t term, const std::string& newLeader, TimePoint now);
+    void startPreVote(TimePoint now);
+    void startElection(TimePoint now);
+    void requestVotes(bool preVote, std::uint64_t term);
+    void handleVoteRequest(const std::string& from, const schema::VoteRequest& request, TimePoint now);
+    bool grantsVote(const schema::VoteRequest& request, TimePoint now);
+    bool hasRecentLeader(const std::string& candidate, TimePoint now) const;
+    void handleVoteAnswer(const schema::VoteAnswer& answer, TimePoint now);
+    void countVotes(TimePoint now);
+    void becomeLeader(TimePoint now);
+
+    // Leader.
+    void replicate(const std::string& identity, TimePoint now);
+    void replicateAll(TimePoint now);
+    std::vector<std::string> progressIdentities() const;
+    void sendHeartbeats(TimePoint now);
+    void sendAppend(const std::string& identity, Progress& progress, bool withEntries, TimePoint now);
+    void sendSnapshot(const std::string& identity, Progress& progress, TimePoint now);
+    void handleAppendAnswer(const schema::AppendAnswer& answer, TimePoint now);
+    void advanceCommit(TimePoint now);
+    TimePoint leaseStart(TimePoint now) const;
+    bool isLeaseValid(TimePoint now) const;
+    void checkLeaderContact(TimePoint now);
+    void rebuildProgress(TimePoint now);
+    std::size_t reachableVoters(const std::vector<schema::ControlMember>& candidates, TimePoint now) const;
+
+    // Follower.
+    void handleAppendRequest(const schema::AppendRequest& request, TimePoint now);
+    void storeEntries(const schema::AppendRequest& request, TimePoint now);
+    void answerAppend(const std::string& leaderIdentity, bool success, std::uint64_t match, std::uint64_t hint,
+        std::uint64_t sentMs);
+    void handleSnapshotRequest(const schema::SnapshotRequest& request, TimePoint now);
+    void installSnapshot(const schema::Snapshot& snapshot);
+    void persistSnapshot();
+
+    // Commands and the state machine.
+    void handleCommand(std::uint64_t token, const schema::Command& command, TimePoint now, std::uint64_t wallMs);
+    bool answerWithoutLog(std::uint64_t token, const schema::Command& command, TimePoint now);
+    void appendWaiting(TimePoint now);
+    void appendCommand(const WaitingCommand& waiting, TimePoint now);
+    void judgeMemberChange(schema::LogEntry& entry, TimePoint now);
+    ResultCode checkMemberChange(const schema::Command& command, TimePoint now) const;
+    bool canAppend(const schema::Command& command) const;
+    void appendEntries(std::vector<schema::LogEntry> entries, TimePoint now);
+    void commitUpTo(std::uint64_t index, TimePoint now);
+    void applyEntry(const schema::LogEntry& entry, TimePoint now);
+    void afterMemberChange(const schema::LogEntry& entry, TimePoint now);
+    void takeSnapshotIfDue();
+    void answerUnknown(std::uint64_t token, const std::string& requestId, ResultCode code, std::string_view message);
+    void expireAnswers(TimePoint now);
+    void abandonAnswers();
+
+    QuorumOptions options;
+    QuorumSink& sink;
+    std::mt19937_64 random;
+
+    schema::HardState hardState;
+    LogWindow window;
+    ConfigurationMachine machine;
+    std::uint64_t commitIndex = 0;
+    /// State at the newest snapshot; sent to members that need entries below the window.
+    std::optional<schema::Snapshot> newestSnapshot;
+    std::vector<schema::ControlMember> members;
+
+    QuorumRole role = QuorumRole::Follower;
+    bool storageFailed = false;
+    std::string leader;
+    TimePoint lastLeaderContact;
+    bool hadLeaderContact = false;
+    TimePoint electionDeadline;
+    std::set<std::string> votes;
+    /// The own vote counts only when this request to persist is complete.
+    std::uint64_t votePersist = 0;
+
+    std::map<std::string, Progress> progress;
+    TimePoint heartbeatDeadline;
+    TimePoint leaderSince;
+    std::uint64_t termFirstIndex = 0;
+    /// Entries of this host's log up to here are durable on its own disk.
+    std::uint64_t durableIndex = 0;
+    /// Entries that become durable with a request to persist.
+    std::deque<std::pair<std::uint64_t, std::uint64_t>> durableAt;
+
+    std::uint64_t requestedPersist = 0;
+    std::uint64_t completedPersist = 0;
+    std::deque<std::pair<std::uint64_t, schema::ControlMessage>> heldMessages;
+
+    std::deque<WaitingCommand> waiting;
+    std::multimap<std::uint64_t, PendingAnswer> pending;
+    /// Entry times never fall, so that remembered answers age in order.
+    std::uint64_t lastEntryTimeMs = 0;
+    std::uint64_t elections = 0;
+    std::uint64_t snapshotsTaken = 0;
+    std::uint64_t snapshotsInstalled = 0;
+};
+
+}
--- /dev/null
+++ b/src/libbergamot/quorum/replication.cpp
@@ -0,0 +1,198 @@
+#include "quorum/quorum_state.h"
+
+#include <algorithm>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Bounds one message, so that a long backlog does not delay heartbeats.
+    constexpr std::size_t maxEntriesPerMessage = 256;
+
+    std::uint64_t toWire(TimePoint time) { return static_cast<std::uint64_t>(time.time_since_epoch().count()); }
+
+    TimePoint fromWire(std::uint64_t milliseconds)
+    {
+        return TimePoint(Duration(static_cast<Duration::rep>(milliseconds)));
+    }
+
+}
+
+void QuorumLog::Implementation::rebuildProgress(TimePoint now)
+{
+    for (const schema::ControlMember& member : members) {
+        if (member.identity() == options.identity || progress.contains(member.identity()))
+            continue;
+        Progress& added = progress[member.identity()];
+        added.next = window.lastIndex() + 1;
+        added.lastHeard = now;
+    }
+}
+
+std::vector<std::string> QuorumLog::Implementation::progressIdentities() const
+{
+    std::vector<std::string> identities;
+    identities.reserve(progress.size());
+    for (const auto& [identity, state] : progress)
+        identities.push_back(identity);
+    return identities;
+}
+
+void QuorumLog::Implementation::sendSnapshot(const std::string& identity, Progress& state, TimePoint now)
+{
+    schema::ControlMessage message = messageTo(identity);
+    schema::SnapshotRequest& request = *message.mutable_snapshot_request();
+    request.set_term(hardState.term());
+    request.set_leader(options.identity);
+    *request.mutable_snapshot() = *newestSnapshot;
+    request.set_sent_ms(toWire(now));
+    state.inFlightUpTo = newestSnapshot->last_index();
+    state.inFlightSince = now;
+    sendNow(std::move(message));
+}
+
+void QuorumLog::Implementation::sendAppend(
+    const std::string& identity, Progress& state, bool withEntries, TimePoint now)
+{
+    schema::ControlMessage message = messageTo(identity);
+    schema::AppendRequest& request = *message.mutable_append_request();
+    const std::uint64_t previous = withEntries ? state.next - 1 : state.match;
+    const std::optional<std::uint64_t> previousTerm = window.termAt(previous);
+    request.set_term(hardState.term());
+    request.set_leader(options.identity);
+    request.set_previous_index(previousTerm ? previous : 0);
+    request.set_previous_term(previousTerm.value_or(0));
+    request.set_commit_index(commitIndex);
+    request.set_sent_ms(toWire(now));
+    if (withEntries) {
+        const std::uint64_t last = std::min(window.lastIndex(), previous + maxEntriesPerMessage);
+        for (std::uint64_t index = previous + 1; index <= last; ++index)
+            *request.add_entries() = window.at(index);
+        state.inFlightUpTo = last;
+        state.inFlightSince = now;
+    }
+    sendNow(std::move(message));
+}
+
+void QuorumLog::Implementation::replicate(const std::string& identity, TimePoint now)
+{
+    Progress& state = progress[identity];
+    const bool inFlight = state.inFlightUpTo != 0 && now - state.inFlightSince < options.electionTimeout;
+    if (inFlight || state.next > window.lastIndex())
+        return;
+    if (state.next <= window.baseIndex())
+        sendSnapshot(identity, state, now);
+    else
+        sendAppend(identity, state, true, now);
+}
+
+void QuorumLog::Implementation::replicateAll(TimePoint now)
+{
+    for (const std::string& identity : progressIdentities())
+        replicate(identity, now);
+}
+
+void QuorumLog::Implementation::sendHeartbeats(TimePoint now)
+{
+    heartbeatDeadline = now + options.heartbeatInterval;
+    for (auto& [identity, state] : progress)
+        sendAppend(identity, state, false, now);
+    replicateAll(now);
+}
+
+void QuorumLog::Implementation::handleAppendAnswer(const schema::AppendAnswer& answer, TimePoint now)
+{
+    if (answer.term() > hardState.term()) {
+        becomeFollower(answer.term(), {}, now);
+        return;
+    }
+    const auto found = progress.find(answer.follower());
+    if (role != QuorumRole::Leader || answer.term() != hardState.term() || found == progress.end())
+        return;
+    Progress& state = found->second;
+    state.acknowledgedSent = std::max(state.acknowledgedSent, fromWire(answer.sent_ms()));
+    state.lastHeard = now;
+    state.heard = true;
+    if (answer.success()) {
+        state.match = std::max(state.match, std::min(answer.match_index(), window.lastIndex()));
+        state.next = std::max(state.next, state.match + 1);
+    } else {
+        state.next = std::clamp(answer.next_index_hint(), state.match + 1, window.lastIndex() + 1);
+    }
+    if (!answer.success() || state.match >= state.inFlightUpTo)
+        state.inFlightUpTo = 0;
+    advanceCommit(now);
+    if (role == QuorumRole::Leader && progress.contains(answer.follower()))
+        replicate(answer.follower(), now);
+}
+
+void QuorumLog::Implementation::advanceCommit(TimePoint now)
+{
+    std::vector<std::uint64_t> matches;
+    for (const schema::ControlMember& member : members) {
+        if (!member.voter())
+            continue;
+        const auto found = progress.find(member.identity());
+        const bool self = member.identity() == options.identity;
+        matches.push_back(self ? durableIndex : found == progress.end() ? 0 : found->second.match);
+    }
+    if (matches.size() < majority() || matches.empty())
+        return;
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const std::uint64_t candidate = matches[majority() - 1];
+    if (candidate <= commitIndex || window.termAt(candidate) != hardState.term())
+        return;
+    commitUpTo(candidate, now);
+    if (role == QuorumRole::Leader)
+        appendWaiting(now);
+}
+
+TimePoint QuorumLog::Implementation::leaseStart(TimePoint now) const
+{
+    std::vector<TimePoint> times;
+    for (const schema::ControlMember& member : members) {
+        if (!member.voter())
+            continue;
+        const auto found = progress.find(member.identity());
+        const bool self = member.identity() == options.identity;
+        const bool heard = found != progress.end() && found->second.heard;
+        times.push_back(self ? now : heard ? found->second.acknowledgedSent : TimePoint::min());
+    }
+    if (times.empty())
+        return TimePoint::min();
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[majority() - 1];
+}
+
+bool QuorumLog::Implementation::isLeaseValid(TimePoint now) const
+{
+    if (role != QuorumRole::Leader || commitIndex < termFirstIndex)
+        return false;
+    // Voters refuse other candidates for a whole election timeout. A quarter of it is left for clocks of unequal speed.
+    return now < leaseStart(now) + options.electionTimeout * 3 / 4;
+}
+
+void QuorumLog::Implementation::checkLeaderContact(TimePoint now)
+{
+    const TimePoint contact = std::max(leaseStart(now), leaderSince);
+    if (now < contact + options.electionTimeout * 2)
+        return;
+    sink.logEvent(ResultCode::NoQuorum, "no majority answers; stops leading");
+    becomeFollower(hardState.term(), {}, now);
+}
+
+std::size_t QuorumLog::Implementation::reachableVoters(
+    const std::vector<schema::ControlMember>& candidates, TimePoint now) const
+{
+    std::size_t count = 0;
+    for (const schema::ControlMember& member : candidates) {
+        const auto found = progress.find(member.identity());
+        const bool self = member.identity() == options.identity;
+        const bool recent = found != progress.end() && found->second.heard
+            && now - found->second.lastHeard < options.electionTimeout;
+        count += member.voter() && (self || recent) ? 1 : 0;
+    }
+    return count;
+}
+
+}
