--- /dev/null
+++ b/src/bergamot-control/operator_routes.cpp
@@ -0,0 +1,185 @@
+#include "control_daemon.h"
+
+#include "libbergamotio/json_schema.h"
+
+#include <charconv>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusBadRequest = 400;
+    constexpr int statusNotFound = 404;
+    constexpr int statusNotAccepted = 409;
+    constexpr int statusUnavailable = 503;
+    constexpr int statusUnknown = 504;
+    constexpr Duration watchWait { 20'000 };
+    constexpr const char* leaseHeader = "Bergamot-Lease";
+
+    /// Codes of an attempt that was not entered into the log.
+    bool isUnavailable(std::uint32_t code)
+    {
+        const auto result = static_cast<ResultCode>(code);
+        return result == ResultCode::NotLeader || result == ResultCode::NoQuorum || result == ResultCode::StorageFailed
+            || result == ResultCode::IdentityRetired;
+    }
+
+    int statusOf(const schema::CommandResult& result)
+    {
+        if (result.outcome() == schema::OUTCOME_ACCEPTED)
+            return statusOk;
+        if (result.outcome() == schema::OUTCOME_NOT_ACCEPTED)
+            return statusNotAccepted;
+        return isUnavailable(result.code()) ? statusUnavailable : statusUnknown;
+    }
+
+    std::uint64_t toNumber(const std::string& text)
+    {
+        std::uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    }
+
+}
+
+void ControlDaemon::setRoutes()
+{
+    const auto add = [this](const char* method, const char* path, bool isPublic, auto handler) {
+        m_http->route(
+            method, path, isPublic, [this, handler](const HttpExchange& exchange) { (this->*handler)(exchange); });
+    };
+    add("POST", "/v1/command", false, &ControlDaemon::handleCommand);
+    add("GET", "/v1/configuration", false, &ControlDaemon::handleConfiguration);
+    add("GET", "/v1/request", false, &ControlDaemon::handleRequest);
+    add("GET", "/v1/history", false, &ControlDaemon::handleHistory);
+    add("GET", "/v1/watch", false, &ControlDaemon::handleWatch);
+    add("GET", "/v1/health", true, &ControlDaemon::handleHealth);
+    m_http->route("GET", "/v1/state", false,
+        [this](const HttpExchange& exchange) { exchange.reply(statusOk, toJson(m_log->dump(m_loop.now()), false)); });
+    m_http->route("GET", "/metrics", true,
+        [this](const HttpExchange& exchange) { exchange.reply(statusOk, metrics(), "text/plain; version=0.0.4"); });
+}
+
+void ControlDaemon::handleCommand(const HttpExchange& exchange)
+{
+    schema::Command command;
+    if (const InputError error = parseJsonMessage(exchange.body(), "body", command)) {
+        ++m_refusedCommands;
+        exchange.reply(statusBadRequest, toJson(refusal({}, ResultCode::CommandMalformed, error.message, 0), false));
+        return;
+    }
+    const std::uint64_t token = m_nextToken++;
+    m_commands.emplace(token, exchange);
+    m_log->handleCommand(token, command, m_loop.now(), m_loop.wallMilliseconds());
+    afterEvent();
+}
+
+void ControlDaemon::answer(std::uint64_t token, const schema::CommandResult& result)
+{
+    const auto command = m_commands.find(token);
+    if (command == m_commands.end())
+        return;
+    const HttpExchange exchange = command->second;
+    m_commands.erase(command);
+    const int status = statusOf(result);
+    ++(status == statusOk ? m_acceptedCommands : status == statusNotAccepted ? m_refusedCommands : m_unknownCommands);
+    exchange.reply(status, toJson(result, false));
+}
+
+void ControlDaemon::handleConfiguration(const HttpExchange& exchange)
+{
+    const bool valid = m_log->isLeaseValid(m_loop.now());
+    if (!valid && exchange.query("stale") != "1") {
+        const std::string text = "the lease is not valid here; leader: " + m_log->leader();
+        exchange.reply(statusUnavailable,
+            toJson(refusal({}, ResultCode::LeaseExpired, text, m_log->configuration().revision()), false));
+        return;
+    }
+    exchange.setHeader(leaseHeader, valid ? "valid" : "expired");
+    exchange.reply(statusOk, toJson(m_log->configuration(), false));
+}
+
+void ControlDaemon::handleRequest(const HttpExchange& exchange)
+{
+    const std::string id = exchange.query("id");
+    if (const schema::RememberedResult* known = m_log->findResult(id)) {
+        exchange.reply(statusOk, toJson(known->result(), false));
+        return;
+    }
+    schema::CommandResult unknown = refusal(
+        id, ResultCode::UnknownRequest, "not remembered on this control host", m_log->configuration().revision());
+    unknown.set_outcome(schema::OUTCOME_UNKNOWN);
+    exchange.reply(statusNotFound, toJson(unknown, false));
+}
+
+void ControlDaemon::handleHistory(const HttpExchange& exchange)
+{
+    std::string body = "{\"entries\":[";
+    const char* separator = "";
+    for (const schema::LogEntry& entry : m_log->history(toNumber(exchange.query("since")))) {
+        body += separator + toJson(entry, false);
+        separator = ",";
+    }
+    exchange.reply(statusOk, body + "]}");
+}
+
+void ControlDaemon::handleWatch(const HttpExchange& exchange)
+{
+    const std::uint64_t since = toNumber(exchange.query("since"));
+    const auto sendCurrent = [this, exchange] {
+        exchange.setHeader(leaseHeader, m_log->isLeaseValid(m_loop.now()) ? "valid" : "expired");
+        exchange.reply(statusOk, toJson(m_log->configuration(), false));
+    };
+    if (m_log->configuration().revision() > since)
+        sendCurrent();
+    else
+        m_watchers.add(since, watchWait, sendCurrent);
+}
+
+void ControlDaemon::handleHealth(const HttpExchange& exchange)
+{
+    const bool ready = m_log->isFormed() && m_log->role() != QuorumRole::Stopped && !m_log->leader().empty();
+    exchange.reply(ready ? statusOk : statusUnavailable, ready ? "{\"status\":\"ok\"}" : "{\"status\":\"not ready\"}");
+}
+
+std::string ControlDaemon::metrics()
+{
+    prometheus::Registry registry;
+    const auto gauge = [&registry](const std::string& name, const std::string& help, double value) {
+        prometheus::BuildGauge().Name("bergamot_control_" + name).Help(help).Register(registry).Add({}).Set(value);
+    };
+    const auto counter = [&registry](const std::string& name, const std::string& help, std::uint64_t value) {
+        prometheus::BuildCounter()
+            .Name("bergamot_control_" + name)
+            .Help(help)
+            .Register(registry)
+            .Add({})
+            .Increment(static_cast<double>(value));
+    };
+    const schema::ControlHostState state = m_log->dump(m_loop.now());
+    gauge("revision", "Revision of the configuration.", static_cast<double>(m_log->configuration().revision()));
+    gauge("term", "Term of the quorum log.", static_cast<double>(state.term()));
+    gauge("commit_index", "Last committed entry.", static_cast<double>(state.commit_index()));
+    gauge("last_index", "Last entry.", static_cast<double>(state.last_index()));
+    gauge("lease_valid", "1 while this host leads with a valid lease.", state.lease_valid() ? 1 : 0);
+    gauge("storage_failed", "1 after a failed write or sync.", state.storage_failed() ? 1 : 0);
+    gauge("remembered_requests", "Remembered answers.", static_cast<double>(state.remembered_requests()));
+    gauge("log_bytes", "Bytes of the log file.", static_cast<double>(m_storage.logBytes()));
+    gauge("waiting_watchers", "Calls that wait for a newer revision.", static_cast<double>(m_watchers.size()));
+    gauge("rpc_connections", "Open RPC connections to this host.", static_cast<double>(m_rpc.connectionCount()));
+    counter("commands_accepted_total", "Commands answered as accepted.", m_acceptedCommands);
+    counter("commands_not_accepted_total", "Commands answered as not accepted.", m_refusedCommands);
+    counter("commands_unknown_total", "Commands answered as unknown or not entered.", m_unknownCommands);
+    counter("messages_sent_total", "Messages sent to control hosts.", m_links.sentMessages());
+    counter("messages_failed_total", "Messages to control hosts that were not delivered.", m_links.failedMessages());
+    counter("probes_failed_total", "Connections closed because a probe had no answer.", m_links.failedProbes());
+    counter("unauthorized_requests_total", "Requests with an absent or wrong token.", m_http->unauthorizedRequests());
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+}
--- /dev/null
+++ b/src/bergamot-control/peer_links.h
@@ -0,0 +1,49 @@
+#pragma once
+
+/// @file
+/// Connections to the other control hosts.
+
+#include "control.pb.h"
+#include "libbergamotio/rpc_client.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace bergamotroute {
+
+/// Sends messages of the quorum log. Messages may be lost; the quorum log repeats them.
+class PeerLinks {
+public:
+    PeerLinks(EventLoop& loop, std::string ownEndpoint)
+        : m_loop(loop)
+        , m_ownEndpoint(std::move(ownEndpoint))
+    {
+    }
+
+    /// Remembers where an identity listens.
+    void learn(const std::string& identity, const std::string& endpoint);
+
+    /// Sends a message to the identity in its field `to`; drops it if the endpoint is not known.
+    void send(schema::ControlMessage message);
+
+    /// Asks the host at an endpoint for its identity.
+    void askIdentity(const std::string& endpoint, std::function<void(const schema::IdentityAnswer&)> handler);
+
+    std::uint64_t sentMessages() const { return m_sent; }
+    std::uint64_t failedMessages() const { return m_failed; }
+    std::uint64_t failedProbes() const;
+
+private:
+    RpcClient* clientFor(const std::string& endpoint);
+
+    EventLoop& m_loop;
+    std::string m_ownEndpoint;
+    std::map<std::string, std::string> m_endpointOf;
+    std::map<std::string, std::unique_ptr<RpcClient>> m_clients;
+    std::uint64_t m_sent = 0;
+    std::uint64_t m_failed = 0;
+};
+
+}
--- a/src/libbergamot/configuration/change.cpp
+++ b/src/libbergamot/configuration/change.cpp
@@ -139,7 +139,8 @@
         std::error_code error;
         const IpAddress address = IpAddress::parse(wanted.address(), error);
         if (error)
-            return refuse(ResultCode::InvalidValue, "backend address \"" + wanted.address() + "\" is not an IP address");
+            return refuse(
+                ResultCode::InvalidValue, "backend address \"" + wanted.address() + "\" is not an IP address");
         if (wanted.weight_percent() > maxWeightPercent || !schema::BackendAdminState_IsValid(wanted.state()))
             return refuse(ResultCode::InvalidValue, "backend " + wanted.address() + ": weight must be at most 1000");
         for (schema::BackendOverride& existing : *configuration.mutable_backends()) {
--- a/src/libbergamot/quorum/commands.cpp
+++ b/src/libbergamot/quorum/commands.cpp
@@ -17,7 +17,8 @@
     const std::string& id = command.request_id();
     constexpr std::size_t maxRequestIdLength = 128;
     if (id.empty() || id.size() > maxRequestIdLength) {
-        sink.answer(token, refusal(id, ResultCode::CommandMalformed, "a request identifier has 1 to 128 characters", 0));
+        sink.answer(
+            token, refusal(id, ResultCode::CommandMalformed, "a request identifier has 1 to 128 characters", 0));
         return true;
     }
     if (const schema::CommandResult* known = machine.findRepeated(command)) {
@@ -66,7 +67,8 @@
     entry.set_time_ms(std::max(command.wallMs, lastEntryTimeMs));
     if (changesMembers(command.command))
         judgeMemberChange(entry, now);
-    pending.emplace(window.lastIndex() + 1, PendingAnswer { command.token, command.command.request_id(), command.deadline });
+    pending.emplace(
+        window.lastIndex() + 1, PendingAnswer { command.token, command.command.request_id(), command.deadline });
     appendEntries({ std::move(entry) }, now);
 }
 
@@ -97,9 +99,10 @@
     if (change.change_case() != schema::Change::kRemoveControlMember || command.force())
         return ResultCode::Ok;
     std::vector<schema::ControlMember> remaining;
-    std::copy_if(members.begin(), members.end(), std::back_inserter(remaining), [&](const schema::ControlMember& member) {
-        return member.voter() && member.identity() != change.remove_control_member();
-    });
+    std::copy_if(
+        members.begin(), members.end(), std::back_inserter(remaining), [&](const schema::ControlMember& member) {
+            return member.voter() && member.identity() != change.remove_control_member();
+        });
     const bool keepsMajority = reachableVoters(remaining, now) >= remaining.size() / 2 + 1;
     return keepsMajority ? ResultCode::Ok : ResultCode::MajorityLoss;
 }
@@ -190,7 +193,8 @@
     while (!pending.empty() && pending.begin()->second.deadline <= now) {
         const PendingAnswer expired = pending.begin()->second;
         pending.erase(pending.begin());
-        answerUnknown(expired.token, expired.requestId, ResultCode::OutcomeUnknown, "ask again with the same identifier");
+        answerUnknown(
+            expired.token, expired.requestId, ResultCode::OutcomeUnknown, "ask again with the same identifier");
     }
 }
 
--- a/src/libbergamot/quorum/quorum_log.cpp
+++ b/src/libbergamot/quorum/quorum_log.cpp
@@ -226,8 +226,7 @@
     }
 }
 
-void QuorumLog::handleCommand(
-    std::uint64_t token, const schema::Command& command, TimePoint now, std::uint64_t wallMs)
+void QuorumLog::handleCommand(std::uint64_t token, const schema::Command& command, TimePoint now, std::uint64_t wallMs)
 {
     m_implementation->handleCommand(token, command, now, wallMs);
 }
--- a/src/libbergamot/quorum/quorum_state.h
+++ b/src/libbergamot/quorum/quorum_state.h
@@ -100,8 +100,8 @@
     // Follower.
     void handleAppendRequest(const schema::AppendRequest& request, TimePoint now);
     void storeEntries(const schema::AppendRequest& request, TimePoint now);
-    void answerAppend(const std::string& leaderIdentity, bool success, std::uint64_t match, std::uint64_t hint,
-        std::uint64_t sentMs);
+    void answerAppend(
+        const std::string& leaderIdentity, bool success, std::uint64_t match, std::uint64_t hint, std::uint64_t sentMs);
     void handleSnapshotRequest(const schema::SnapshotRequest& request, TimePoint now);
     void installSnapshot(const schema::Snapshot& snapshot);
     void persistSnapshot();
--- a/src/libbergamot/quorum/replication.cpp
+++ b/src/libbergamot/quorum/replication.cpp
@@ -188,8 +188,8 @@
     for (const schema::ControlMember& member : candidates) {
         const auto found = progress.find(member.identity());
         const bool self = member.identity() == options.identity;
-        const bool recent = found != progress.end() && found->second.heard
-            && now - found->second.lastHeard < options.electionTimeout;
+        const bool recent
+            = found != progress.end() && found->second.heard && now - found->second.lastHeard < options.electionTimeout;
         count += member.voter() && (self || recent) ? 1 : 0;
     }
     return count;
--- /dev/null
+++ b/src/libbergamotio/log_storage.h
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// Storage of the quorum log: the files `log` and `snapshot` in the data folder.
+
+#include "bergamotroute/quorum_log.h"
+#include "libbergamotio/durable_file.h"
+
+#include <optional>
+#include <string>
+#include <system_error>
+
+namespace bergamotroute {
+
+/// Result of opening a data folder.
+struct StorageReport {
+    /// ResultCode::LogDamaged or StorageFailed; empty if the log is usable.
+    std::error_code error;
+    /// What was found and what an operator does about it; empty if nothing is remarkable.
+    std::string detail;
+    /// An incomplete last record was cut.
+    bool tornRecordCut = false;
+    /// A new identity was created because the folder held none.
+    bool newIdentity = false;
+};
+
+/// Appends to the log file. After the first failure nothing is written any more: the state of unsynced pages is not
+/// known after a failed sync.
+class LogStorage {
+public:
+    /// Opens or creates the files and locks the folder against a second process.
+    /// @param[out] stored what the files hold; the hard state has an identity.
+    StorageReport open(const std::string& folder, StoredLog& stored);
+
+    /// Adds a request to the next sync.
+    void add(const PersistRequest& request);
+
+    /// Writes all added requests and makes them durable.
+    /// @return ResultCode::StorageFailed after any failure.
+    std::error_code sync();
+
+    bool hasUnsynced() const { return m_hasPending || m_pendingSnapshot.has_value(); }
+    bool hasFailed() const { return m_failed; }
+
+    /// @return bytes of the log file.
+    std::uint64_t logBytes() const { return m_logBytes; }
+
+private:
+    std::error_code openFiles(StoredLog& stored, StorageReport& report);
+    std::error_code loadSnapshot(StoredLog& stored, StorageReport& report);
+    std::error_code loadLog(StoredLog& stored, StorageReport& report);
+    std::error_code openLogForAppend();
+    std::error_code writeSnapshot(const PersistRequest& request);
+    std::error_code writePending();
+
+    std::string m_folder;
+    FileDescriptor m_lock;
+    FileDescriptor m_log;
+    schema::StoredRecord m_pending;
+    bool m_hasPending = false;
+    std::optional<PersistRequest> m_pendingSnapshot;
+    std::uint64_t m_logBytes = 0;
+    bool m_failed = false;
+};
+
+/// @return a new random identity of a control host: 32 hexadecimal digits.
+std::string makeIdentity();
+
+}
