--- /dev/null
+++ b/src/libbergamot/runbook/apply_change.cpp
@@ -0,0 +1,115 @@
+// Applies changes to a copy of a configuration.
+
+#include "bergamotroute/manifest_diff.h"
+
+#include <google/protobuf/util/message_differencer.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    using google::protobuf::util::MessageDifferencer;
+
+    template <typename List, typename Matches> auto* findIn(List& list, Matches matches)
+    {
+        for (auto& item : list) {
+            if (matches(item))
+                return &item;
+        }
+        return static_cast<typename List::value_type*>(nullptr);
+    }
+
+    template <typename List, typename Matches> bool eraseFrom(List& list, Matches matches)
+    {
+        for (int i = 0; i < list.size(); ++i) {
+            if (matches(list[i])) {
+                list.DeleteSubrange(i, 1);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    template <typename List, typename Item, typename Matches> bool setIn(List& list, const Item& item, Matches matches)
+    {
+        Item* present = findIn(list, matches);
+        if (present != nullptr && MessageDifferencer::Equals(*present, item))
+            return false;
+        *(present == nullptr ? list.Add() : present) = item;
+        return true;
+    }
+
+    auto hasName(const std::string& name)
+    {
+        return [&name](const auto& item) { return item.name() == name; };
+    }
+
+    auto hasIdentity(const std::string& identity)
+    {
+        return [&identity](const schema::ControlMember& member) { return member.identity() == identity; };
+    }
+
+    bool moveService(const schema::MoveService& move, schema::Configuration& configuration)
+    {
+        schema::Service* service = findIn(*configuration.mutable_services(), hasName(move.name()));
+        if (service == nullptr)
+            return false;
+        const schema::Service before = *service;
+        if (!move.new_address().empty())
+            service->set_address(move.new_address());
+        if (!move.new_data_centres().empty())
+            *service->mutable_data_centres() = move.new_data_centres();
+        return !MessageDifferencer::Equals(before, *service);
+    }
+
+    bool setBackend(const schema::BackendOverride& backend, schema::Configuration& configuration)
+    {
+        return setIn(*configuration.mutable_backends(), backend, [&](const schema::BackendOverride& present) {
+            return present.service() == backend.service() && present.address() == backend.address();
+        });
+    }
+
+    bool promoteMember(const std::string& identity, schema::Configuration& configuration)
+    {
+        schema::ControlMember* member = findIn(*configuration.mutable_control_members(), hasIdentity(identity));
+        if (member == nullptr || member->voter())
+            return false;
+        member->set_voter(true);
+        return true;
+    }
+
+}
+
+bool applyToConfiguration(const schema::Change& change, schema::Configuration& configuration)
+{
+    switch (change.change_case()) {
+    case schema::Change::kAddService:
+        return setIn(*configuration.mutable_services(), change.add_service(), hasName(change.add_service().name()));
+    case schema::Change::kEditService:
+        return setIn(*configuration.mutable_services(), change.edit_service(), hasName(change.edit_service().name()));
+    case schema::Change::kMoveService:
+        return moveService(change.move_service(), configuration);
+    case schema::Change::kRemoveService:
+        return eraseFrom(*configuration.mutable_services(), hasName(change.remove_service().name()));
+    case schema::Change::kSetBackend:
+        return setBackend(change.set_backend(), configuration);
+    case schema::Change::kSetDataCentre:
+        return setIn(
+            *configuration.mutable_data_centres(), change.set_data_centre(), hasName(change.set_data_centre().name()));
+    case schema::Change::kSetEntryHost:
+        return setIn(*configuration.mutable_entry_hosts(), change.set_entry_host(),
+            [&](const schema::EntryHostOverride& present) { return present.host() == change.set_entry_host().host(); });
+    case schema::Change::kAddControlMember:
+        return setIn(*configuration.mutable_control_members(), change.add_control_member(),
+            hasIdentity(change.add_control_member().identity()));
+    case schema::Change::kPromoteControlMember:
+        return promoteMember(change.promote_control_member(), configuration);
+    case schema::Change::kRemoveControlMember:
+        return eraseFrom(*configuration.mutable_control_members(), hasIdentity(change.remove_control_member()));
+    case schema::Change::CHANGE_NOT_SET:
+        return false;
+    }
+    return false;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/runbook/manifest_diff.cpp
@@ -0,0 +1,149 @@
+#include "bergamotroute/manifest_diff.h"
+
+#include <algorithm>
+#include <google/protobuf/util/message_differencer.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    using google::protobuf::util::MessageDifferencer;
+
+    template <typename List> bool hasService(const List& services, const std::string& name)
+    {
+        return std::any_of(
+            services.begin(), services.end(), [&](const schema::Service& service) { return service.name() == name; });
+    }
+
+    /// @return true if another service than the given one holds its address and one of its ports.
+    bool clashes(const schema::Service& wanted, const schema::Configuration& configuration)
+    {
+        for (const schema::Service& other : configuration.services()) {
+            if (other.name() == wanted.name() || other.address() != wanted.address()
+                || other.protocol() != wanted.protocol())
+                continue;
+            for (const std::uint32_t port : wanted.ports()) {
+                if (std::find(other.ports().begin(), other.ports().end(), port) != other.ports().end())
+                    return true;
+            }
+        }
+        return false;
+    }
+
+    /// Collects changes and keeps the configuration that they lead to.
+    class ChangeList {
+    public:
+        explicit ChangeList(const schema::Configuration& configuration)
+            : m_configuration(configuration)
+        {
+        }
+
+        void add(const schema::Change& change)
+        {
+            if (applyToConfiguration(change, m_configuration))
+                m_changes.push_back(change);
+        }
+
+        void addService(const schema::Service& service)
+        {
+            schema::Change change;
+            if (hasService(m_configuration.services(), service.name()))
+                *change.mutable_edit_service() = service;
+            else
+                *change.mutable_add_service() = service;
+            add(change);
+        }
+
+        const schema::Configuration& configuration() const { return m_configuration; }
+        std::vector<schema::Change> take() { return std::move(m_changes); }
+
+    private:
+        schema::Configuration m_configuration;
+        std::vector<schema::Change> m_changes;
+    };
+
+    void removeOthers(const schema::Manifest& manifest, const schema::Configuration& configuration, ChangeList& list)
+    {
+        for (const schema::Service& service : configuration.services()) {
+            if (hasService(manifest.services(), service.name()))
+                continue;
+            schema::Change change;
+            change.mutable_remove_service()->set_name(service.name());
+            list.add(change);
+        }
+    }
+
+    /// Adds the services of one kind. One whose address is still held by another service waits until that one has
+    /// moved. Services that wait for each other are added last, in the manifest's order; the control host refuses them.
+    void addServices(const std::vector<const schema::Service*>& services, ChangeList& list)
+    {
+        std::vector<const schema::Service*> waiting = services;
+        bool hasProgress = true;
+        while (!waiting.empty() && hasProgress) {
+            std::vector<const schema::Service*> later;
+            for (const schema::Service* service : waiting) {
+                if (clashes(*service, list.configuration()))
+                    later.push_back(service);
+                else
+                    list.addService(*service);
+            }
+            hasProgress = later.size() < waiting.size();
+            waiting = std::move(later);
+        }
+        for (const schema::Service* service : waiting)
+            list.addService(*service);
+    }
+
+    void addAllServices(const schema::Manifest& manifest, const schema::Configuration& configuration, ChangeList& list)
+    {
+        std::vector<const schema::Service*> present;
+        std::vector<const schema::Service*> missing;
+        for (const schema::Service& service : manifest.services())
+            (hasService(configuration.services(), service.name()) ? present : missing).push_back(&service);
+        addServices(present, list);
+        addServices(missing, list);
+    }
+
+    /// An intended change that adds a service which exists becomes an edit, so that it can be repeated.
+    void addIntended(const schema::Change& change, ChangeList& list)
+    {
+        if (change.has_add_service())
+            list.addService(change.add_service());
+        else
+            list.add(change);
+    }
+
+    bool isSameState(const schema::Configuration& left, const schema::Configuration& right)
+    {
+        MessageDifferencer differencer;
+        differencer.set_repeated_field_comparison(MessageDifferencer::AS_SET);
+        return differencer.Compare(left, right);
+    }
+
+}
+
+std::vector<schema::Change> diffManifest(const schema::Manifest& manifest, const schema::Configuration& configuration)
+{
+    ChangeList list(configuration);
+    if (manifest.prune())
+        removeOthers(manifest, configuration, list);
+    addAllServices(manifest, configuration, list);
+    for (const schema::DataCentre& dataCentre : manifest.data_centres()) {
+        schema::Change change;
+        *change.mutable_set_data_centre() = dataCentre;
+        list.add(change);
+    }
+    for (const schema::BackendOverride& backend : manifest.backends()) {
+        schema::Change change;
+        *change.mutable_set_backend() = backend;
+        list.add(change);
+    }
+    for (const schema::Change& change : manifest.changes())
+        addIntended(change, list);
+    // Intended changes that undo each other lead back to the present state.
+    if (isSameState(list.configuration(), configuration))
+        return {};
+    return list.take();
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/runbook/runbook_progress_test.cpp
@@ -0,0 +1,65 @@
+#include "bergamotroute/runbook_progress.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+
+namespace {
+
+schema::Runbook makeRunbook()
+{
+    schema::Runbook runbook;
+    runbook.set_name("move");
+    for (const char* command : { "backend drain ordering 10.1.0.7", "service move ordering --address 10.9.0.2" })
+        runbook.add_steps()->set_command(command);
+    return runbook;
+}
+
+}
+
+// Guards against a step that runs twice because its interrupted attempt is repeated under a new identifier.
+TEST_CASE("an interrupted step resumes with the same request identifier")
+{
+    RunbookRun first(makeRunbook(), "run1");
+    CHECK(first.nextStep() == 0);
+    const std::string done = first.begin(0);
+    first.finish(0, StepOutcome::Done, 0);
+    const std::string interrupted = first.begin(1);
+    CHECK(done != interrupted);
+
+    RunbookRun second(makeRunbook(), "run2");
+    std::string reason;
+    REQUIRE_FALSE(second.resume(first.progress(), reason));
+    CHECK(second.nextStep() == 1);
+    CHECK(second.begin(1) == interrupted);
+    second.finish(1, StepOutcome::Unknown, 3);
+    CHECK(second.begin(1) == interrupted);
+    second.finish(1, StepOutcome::Done, 0);
+    CHECK_FALSE(second.nextStep());
+}
+
+// Guards against a refused step that gets its remembered refusal again for ever.
+TEST_CASE("a failed step gets a new request identifier")
+{
+    RunbookRun run(makeRunbook(), "run1");
+    const std::string refused = run.begin(0);
+    run.finish(0, StepOutcome::Failed, 1);
+    CHECK(run.nextStep() == 0);
+    CHECK(run.begin(0) != refused);
+}
+
+// Guards against the progress of an edited runbook that is taken for that of other steps.
+TEST_CASE("a changed step that has begun refuses to resume")
+{
+    RunbookRun first(makeRunbook(), "run1");
+    first.begin(0);
+    schema::Runbook edited = makeRunbook();
+    edited.mutable_steps(1)->set_command("service list");
+    std::string reason;
+    RunbookRun laterEdited(edited, "run2");
+    CHECK_FALSE(laterEdited.resume(first.progress(), reason));
+    edited.mutable_steps(0)->set_command("service list");
+    RunbookRun begunEdited(edited, "run3");
+    CHECK(begunEdited.resume(first.progress(), reason) == ResultCode::SettingsClash);
+    CHECK(reason.find("step 1") != std::string::npos);
+}
