--- a/src/libbergamot/targets/load_estimator.cpp
+++ b/src/libbergamot/targets/load_estimator.cpp
@@ -102,6 +102,7 @@
 {
     load.busy.add(busyOf(report), static_cast<double>((now - load.received).count()) / busySmoothingMs);
     if (report.open_connections() > 0) {
+        load.hasReportedConnections = true;
         load.emptySince = noDeadline;
         load.emptyReports = 0;
         return;
@@ -184,6 +185,7 @@
     }
     const auto medianOf = [&fresh](double Density::*member) {
         std::vector<double> values;
+        values.reserve(fresh.size());
         for (const Density& density : fresh)
             values.push_back(density.*member);
         return median(std::move(values));
@@ -203,6 +205,12 @@
     return factors;
 }
 
+bool LoadEstimator::hasReportedConnections(TargetId target) const
+{
+    const auto found = m_loads.find(target);
+    return found != m_loads.end() && found->second.hasReportedConnections;
+}
+
 bool LoadEstimator::isEmpty(TargetId target, TimePoint now) const
 {
     const std::optional<Duration> reportAge = age(target, now);
--- a/src/libbergamot/targets/load_estimator.h
+++ b/src/libbergamot/targets/load_estimator.h
@@ -67,6 +67,9 @@
     /// @return true if fresh reports have shown no open connection for some time.
     bool isEmpty(TargetId target, TimePoint now) const;
 
+    /// @return true if any report of the target showed an open connection.
+    bool hasReportedConnections(TargetId target) const;
+
 private:
     struct Load {
         schema::LoadReport report;
@@ -76,6 +79,7 @@
         SmoothedValue busy;
         TimePoint emptySince = noDeadline;
         unsigned emptyReports = 0;
+        bool hasReportedConnections = false;
     };
     /// Load for one unit of capacity, with standard errors.
     struct Density {
--- a/src/libbergamot/targets/target_manager.cpp
+++ b/src/libbergamot/targets/target_manager.cpp
@@ -207,7 +207,7 @@
     for (auto& [id, record] : m_directory.records()) {
         const auto& targets = usable.at(record.info.service);
         record.info.acceptsNewFlows = std::find(targets.begin(), targets.end(), &record) != targets.end();
-        record.info.gone = hasLeftForGood(record, m_directory, m_load, now);
+        record.info.gone = hasLeftForGood(record, m_directory, m_load, m_newFlows, now);
         if (!record.info.gone)
             record.goneSince = noDeadline;
         else if (record.goneSince == noDeadline)
--- a/src/libbergamot/targets/target_manager_test.cpp
+++ b/src/libbergamot/targets/target_manager_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace bergamotroute;
 
 namespace {
@@ -179,3 +181,154 @@
     host.pass(Duration(1));
     CHECK(host.isGone(id));
 }
+
+TEST_CASE("a drain ends early only for a believable empty target; guards against feeds that a false report breaks")
+{
+    for (const bool hasReported : { true, false }) {
+        Host host;
+        const TargetId id = idOf("ordering", "10.0.0.1");
+        schema::Announcement announcement = announcementOf("ordering", "10.0.0.1");
+        announcement.set_lease_seconds(300);
+        REQUIRE(host.announce(announcement) == ResultCode::Ok);
+        for (int i = 0; i < 200; ++i)
+            host.manager->countFirstPacket(id, host.clock.now());
+        const auto report = [&host, id](std::uint32_t open) {
+            schema::LoadReport load;
+            load.set_open_connections(open);
+            load.set_time_ms(host.clock.wallMilliseconds());
+            host.manager->handleLoadReport(id, load, host.clock.now());
+        };
+        report(hasReported ? 200 : 0);
+        announcement.set_state(schema::DRAINING);
+        REQUIRE(host.announce(announcement) == ResultCode::Ok);
+        for (int second = 0; second < 20; ++second) {
+            host.pass(Duration(1'000));
+            report(0);
+        }
+        CHECK(host.isGone(id) == hasReported);
+    }
+}
+
+TEST_CASE("operators and data centres take targets out; guards against new flows to a drained or stopped part")
+{
+    Host host;
+    const TargetId id = idOf("ordering", "10.0.0.1");
+    schema::Announcement announcement = announcementOf("ordering", "10.0.0.1");
+    announcement.set_lease_seconds(300);
+    REQUIRE(host.announce(announcement) == ResultCode::Ok);
+    schema::Configuration configuration = twoServices();
+    schema::BackendOverride* backend = configuration.add_backends();
+    backend->set_service("ordering");
+    backend->set_address("10.0.0.1");
+    backend->set_weight_percent(100);
+    backend->set_state(schema::BACKEND_MAINTENANCE);
+    host.manager->handleConfiguration(configuration, host.clock.now());
+    CHECK_FALSE(host.accepts(id));
+    CHECK_FALSE(host.isGone(id));
+    backend->set_state(schema::BACKEND_REMOVED);
+    host.manager->handleConfiguration(configuration, host.clock.now());
+    CHECK(host.isGone(id));
+    backend->set_state(schema::BACKEND_READY);
+    host.manager->handleConfiguration(configuration, host.clock.now());
+    CHECK(host.accepts(id));
+    CHECK_FALSE(host.isGone(id));
+    schema::DataCentre* dataCentre = configuration.add_data_centres();
+    dataCentre->set_name("dc1");
+    dataCentre->set_stopped(true);
+    host.manager->handleConfiguration(configuration, host.clock.now());
+    CHECK_FALSE(host.accepts(id));
+    CHECK_FALSE(host.isGone(id));
+}
+
+TEST_CASE("if all targets fail their checks, all stay in use; guards against an outage caused by broken checks")
+{
+    Host host;
+    const TargetId first = idOf("ordering", "10.0.0.1");
+    const TargetId second = idOf("ordering", "10.0.0.2");
+    for (const char* address : { "10.0.0.1", "10.0.0.2" }) {
+        schema::Announcement announcement = announcementOf("ordering", address);
+        announcement.set_lease_seconds(300);
+        REQUIRE(host.announce(announcement) == ResultCode::Ok);
+    }
+    for (int i = 0; i < 3; ++i)
+        host.manager->handleHealthResult(first, false, host.clock.now());
+    CHECK_FALSE(host.accepts(first));
+    CHECK(host.accepts(second));
+    for (int i = 0; i < 3; ++i)
+        host.manager->handleHealthResult(second, false, host.clock.now());
+    CHECK(host.accepts(first));
+    CHECK(host.accepts(second));
+}
+
+TEST_CASE("a host that joins late knows how warm targets are; guards against a table that treats all of them as cold")
+{
+    Host first(0, 2);
+    Host late(1, 2);
+    schema::Announcement announcement = announcementOf("ordering", "10.0.0.1");
+    announcement.set_lease_seconds(300);
+    REQUIRE(first.announce(announcement) == ResultCode::Ok);
+    first.pass(Duration(60'000));
+    late.pass(Duration(60'000));
+    REQUIRE(first.announce(announcementOf("ordering", "10.0.0.2")) == ResultCode::Ok);
+    first.pass(Duration(3'000));
+    late.pass(Duration(3'000));
+    late.manager->handleUpdate(first.manager->fullUpdate(first.clock.now()), late.clock.now());
+    const auto table = late.manager->planTable(serviceId("ordering"), nullptr, 1024, late.clock.now());
+    REQUIRE(table.has_value());
+    const auto cold = std::count_if(table->buckets.begin(), table->buckets.end(),
+        [](const Bucket& bucket) { return bucket.current == idOf("ordering", "10.0.0.2"); });
+    // The second target has warmed up for 3 s of 30 s: a share of 0.1 beside 1.
+    CHECK(cold == 93);
+}
+
+TEST_CASE("a lost update is repeated when digests differ; guards against a host that never learns of a target")
+{
+    Host first(0, 2);
+    Host second(1, 2);
+    const TargetId id = idOf("ordering", "10.0.0.1");
+    REQUIRE(first.announce(announcementOf("ordering", "10.0.0.1")) == ResultCode::Ok);
+    // All copies of the update are lost.
+    for (int i = 0; i < 4; ++i) {
+        first.manager->takeUpdate(first.clock.now());
+        first.pass(Duration(1'000));
+        second.pass(Duration(1'000));
+    }
+    for (int i = 0; i < 12 && second.manager->find(id) == nullptr; ++i) {
+        REQUIRE(first.announce(announcementOf("ordering", "10.0.0.1")) == ResultCode::Ok);
+        schema::Heartbeat heartbeat;
+        second.manager->fillHeartbeat(heartbeat, second.clock.now());
+        first.manager->handleHeartbeat(1, heartbeat, first.clock.now());
+        if (const auto update = first.manager->takeUpdate(first.clock.now()))
+            second.manager->handleUpdate(*update, second.clock.now());
+        first.pass(Duration(500));
+        second.pass(Duration(500));
+    }
+    CHECK(second.accepts(id));
+}
+
+TEST_CASE("an older update does not undo a newer one; guards against a drain that a late datagram takes back")
+{
+    Host first(0, 2);
+    Host second(1, 2);
+    schema::Announcement announcement = announcementOf("ordering", "10.0.0.1");
+    REQUIRE(first.announce(announcement) == ResultCode::Ok);
+    const schema::TargetUpdate ready = first.manager->fullUpdate(first.clock.now());
+    announcement.set_state(schema::DRAINING);
+    REQUIRE(first.announce(announcement) == ResultCode::Ok);
+    second.manager->handleUpdate(first.manager->fullUpdate(first.clock.now()), second.clock.now());
+    second.manager->handleUpdate(ready, second.clock.now());
+    CHECK_FALSE(second.accepts(idOf("ordering", "10.0.0.1")));
+}
+
+TEST_CASE("without quorum a flow goes to a target of the own data centre; guards against flows to a side cut off")
+{
+    Host host;
+    schema::Announcement announcement = announcementOf("ordering", "10.0.0.1");
+    REQUIRE(host.announce(announcement) == ResultCode::Ok);
+    announcement = announcementOf("ordering", "10.0.0.2");
+    announcement.set_data_centre("dc2");
+    REQUIRE(host.announce(announcement) == ResultCode::Ok);
+    for (std::uint64_t flow = 1; flow < 50; ++flow)
+        CHECK(host.manager->selectLocal(serviceId("ordering"), flow) == idOf("ordering", "10.0.0.1"));
+    CHECK(host.manager->selectLocal(serviceId("manifests"), 1) == noTarget);
+}
--- a/src/libbergamot/targets/target_state.cpp
+++ b/src/libbergamot/targets/target_state.cpp
@@ -9,6 +9,9 @@
     constexpr std::uint32_t defaultDrainDeadlineSeconds = 28'800;
     /// New flows may still arrive until the move is active on all hosts, so a drain lasts at least this long.
     constexpr Duration minDrainTime { 10'000 };
+    /// A target that got this many flows from this host and never reported an open connection is not believed when it
+    /// reports none: ending its drain early would break its flows.
+    constexpr std::uint64_t flowsThatShow = 100;
 
     Duration drainDeadline(const schema::Service& service)
     {
@@ -44,8 +47,8 @@
 
 }
 
-bool hasLeftForGood(
-    const TargetRecord& record, const TargetDirectory& directory, const LoadEstimator& load, TimePoint now)
+bool hasLeftForGood(const TargetRecord& record, const TargetDirectory& directory, const LoadEstimator& load,
+    const NewFlowCounter& newFlows, TimePoint now)
 {
     const schema::Service* service = directory.service(record.info.service);
     if (service == nullptr || record.adminState == schema::BACKEND_REMOVED || directory.claimEnd(record) <= now)
@@ -53,7 +56,11 @@
     const TimePoint since = drainingSince(record);
     if (since == noDeadline || since + minDrainTime > now)
         return false;
-    return since + drainDeadline(*service) <= now || load.isEmpty(record.info.id, now);
+    if (since + drainDeadline(*service) <= now)
+        return true;
+    const TargetId id = record.info.id;
+    const bool isCredible = load.hasReportedConnections(id) || newFlows.total(id) < flowsThatShow;
+    return isCredible && load.isEmpty(id, now);
 }
 
 void describeTarget(schema::TargetState& state, const TargetRecord& record, bool healthy, TimePoint now)
--- a/src/libbergamot/targets/target_state.h
+++ b/src/libbergamot/targets/target_state.h
@@ -4,6 +4,7 @@
 /// States of a target that follow from its record: whether it has left for good, and its description for operators.
 
 #include "targets/load_estimator.h"
+#include "targets/new_flow_counter.h"
 #include "targets/table_planner.h"
 #include "targets/target_directory.h"
 
@@ -13,8 +14,8 @@
 
 /// @return true if the flows of the target are over: it is removed, drained empty, past its drain deadline, or its
 /// lease and quarantine have ended.
-bool hasLeftForGood(
-    const TargetRecord& record, const TargetDirectory& directory, const LoadEstimator& load, TimePoint now);
+bool hasLeftForGood(const TargetRecord& record, const TargetDirectory& directory, const LoadEstimator& load,
+    const NewFlowCounter& newFlows, TimePoint now);
 
 /// Fills the operators' description of a target, except for its load and share.
 void describeTarget(schema::TargetState& state, const TargetRecord& record, bool healthy, TimePoint now);
