Accept 64-bit numbers as strings in JSON input

The JSON mapping of protobuf prints 64-bit numbers as strings, and the parser refused them: bergamotd refused every announcement with an incarnation (code 300). A test prints and parses an announcement.

--- a/src/libbergamotio/json_schema.cpp
+++ b/src/libbergamotio/json_schema.cpp
@@ -6,6 +6,7 @@
 #include "options.pb.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fstream>
 #include <google/protobuf/util/json_util.h>
 #include <json/json.h>
@@ -187,6 +188,8 @@
                 reflection.SetDouble(&message, &field, value.asDouble());
                 return checkRange(value, path, field, value.asDouble(), "value");
             }
+            if (field.cpp_type() == FieldDescriptor::CPPTYPE_UINT64 && value.isString())
+                return readWideString(value, path, field, message);
             if (!value.isIntegral() || value.isBool())
                 return fault(ResultCode::SettingsWrongType, value, path, "a whole number is expected");
             if (InputError error = checkRange(value, path, field, value.asDouble(), "value"))
@@ -194,6 +197,21 @@
             return storeInteger(value, path, field, message);
         }
 
+        /// Reads a 64-bit number from a string: the JSON mapping of protobuf prints it so, because many readers keep
+        /// only 53 bits of a number.
+        InputError readWideString(
+            const Json::Value& value, const std::string& path, const FieldDescriptor& field, Message& message)
+        {
+            const std::string digits = value.asString();
+            std::uint64_t number = 0;
+            const auto [end, status] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+            if (status != std::errc() || end != digits.data() + digits.size())
+                return fault(ResultCode::SettingsWrongType, value, path, "a whole number is expected");
+            if (InputError error = checkRange(value, path, field, static_cast<double>(number), "value"))
+                return error;
+            return storeInteger(Json::Value(Json::UInt64(number)), path, field, message);
+        }
+
         InputError storeInteger(
             const Json::Value& value, const std::string& path, const FieldDescriptor& field, Message& message)
         {
--- a/src/libbergamotio/json_schema_test.cpp
+++ b/src/libbergamotio/json_schema_test.cpp
@@ -2,6 +2,7 @@
 
 #include "bergamotroute/result_code.h"
 
+#include "announcement.pb.h"
 #include "settings.pb.h"
 
 #include <doctest/doctest.h>
@@ -68,3 +69,25 @@
     CHECK(error.code == ResultCode::SettingsSyntax);
     CHECK(error.message.starts_with("control.json:3:"));
 }
+
+// Guards against 64-bit numbers that toJson() prints and the parser refuses: announcements and configurations carry
+// them.
+TEST_CASE("a message with 64-bit numbers survives printing and parsing")
+{
+    schema::Announcement sent;
+    sent.set_service("ordering");
+    sent.set_address("10.0.0.1");
+    sent.set_fou_port(6080);
+    sent.set_slots(2);
+    sent.set_data_centre("dc1");
+    sent.set_lease_seconds(6);
+    sent.set_health_url("http://10.0.0.1:80/health");
+    sent.set_load_url("http://10.0.0.1:80/load");
+    sent.set_incarnation(18'446'744'073'709'551'615ull);
+    schema::Announcement received;
+    const InputError error = parseJsonMessage(toJson(sent, false), "announcement", received);
+    CHECK(error.message.empty());
+    CHECK(received.incarnation() == sent.incarnation());
+    CHECK(parseJsonMessage("{\"time_ms\": \"12x\"}", "report", *std::make_unique<schema::LoadReport>()).code
+        == ResultCode::SettingsWrongType);
+}
