--- a/src/libbergamotio/event_loop.cpp
+++ b/src/libbergamotio/event_loop.cpp
@@ -15,6 +15,13 @@
     /// Adapts libevent's callback to the handler that the argument points to.
     void callHandler(evutil_socket_t, short, void* handler) { (*static_cast<std::function<void()>*>(handler))(); }
 
+    /// Calls a copy, because the handler of a timer may destroy the timer.
+    void callTimerHandler(evutil_socket_t, short, void* handler)
+    {
+        const std::function<void()> copy = *static_cast<std::function<void()>*>(handler);
+        copy();
+    }
+
     timeval toTimeval(Duration delay)
     {
         const long milliseconds = delay.count() < 0 ? 0 : delay.count();
@@ -77,7 +84,7 @@
 Timer::Timer(EventLoop& loop, std::function<void()> handler)
     : m_loop(loop)
     , m_handler(std::move(handler))
-    , m_event(evtimer_new(loop.base(), callHandler, &m_handler))
+    , m_event(evtimer_new(loop.base(), callTimerHandler, &m_handler))
 {
 }
 
--- a/src/libbergamotio/event_loop_test.cpp
+++ b/src/libbergamotio/event_loop_test.cpp
@@ -39,3 +39,19 @@
     loop.run();
     CHECK(calls == 1);
 }
+
+TEST_CASE("a timer may be destroyed by its own handler")
+{
+    // Guards against a handler that is freed while it runs.
+    EventLoop loop;
+    auto calls = std::make_shared<int>(0);
+    std::unique_ptr<Timer> timer;
+    timer = std::make_unique<Timer>(loop, [&timer, &loop, calls] {
+        timer.reset();
+        ++*calls;
+        loop.stop();
+    });
+    timer->start(Duration(0));
+    loop.run();
+    CHECK(*calls == 1);
+}
