--- a/src/standins/common/traffic_identity.h
+++ b/src/standins/common/traffic_identity.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace bergamotroute {
 
@@ -13,4 +14,7 @@
 /// @return the identity of a request, unique in a run.
 std::string requestIdentity(std::uint64_t seed, std::uint64_t number);
 
+/// @return the body that a backend server answers for an identity; every byte depends on identity and place.
+std::string documentBody(std::string_view identity, std::size_t bytes);
+
 }
