--- a/src/standins/fabric/sprayer.cpp
+++ b/src/standins/common/sprayer.cpp
@@ -1,4 +1,4 @@
-#include "standins/fabric/sprayer.h"
+#include "standins/common/sprayer.h"
 
 namespace bergamotroute {
 
--- a/src/standins/fabric/main.cpp
+++ b/src/standins/fabric/main.cpp
@@ -4,8 +4,8 @@
 
 #include "libbergamotio/http_server.h"
 #include "libbergamotio/json_schema.h"
+#include "standins/common/sprayer.h"
 #include "standins/fabric/service_sockets.h"
-#include "standins/fabric/sprayer.h"
 
 #include <csignal>
 #include <gflags/gflags.h>
