--- a/src/bergamotd/entry_daemon.cpp
+++ b/src/bergamotd/entry_daemon.cpp
@@ -87,6 +87,10 @@
     } else if (saved.revision() > 0) {
         m_host.handleConfiguration(saved, m_loop.now());
     }
+    if (const std::error_code error = startExchange()) {
+        detail = m_settings.peer_listen();
+        return error;
+    }
     addRoutes();
     m_fabricWatch = std::make_unique<ReadWatch>(m_loop, m_fabric.descriptor(), [this] { receiveFabric(); });
     m_peerWatch = std::make_unique<ReadWatch>(m_loop, m_peers.descriptor(), [this] { receivePeers(); });
@@ -116,6 +120,23 @@
     return m_announce.listen(parseEndpoint(detail));
 }
 
+std::error_code EntryDaemon::startExchange()
+{
+    ConfigurationExchangeOptions options;
+    options.host = m_settings.host();
+    options.listen = parseEndpoint(m_settings.peer_listen());
+    for (const std::string& endpoint : m_settings.control_endpoints())
+        options.controlHosts.push_back(parseEndpoint(endpoint));
+    for (const schema::PeerSettings& peer : m_settings.peers()) {
+        if (peer.host() != m_settings.host())
+            options.neighbours.push_back(parseEndpoint(peer.endpoint()));
+    }
+    m_exchange = std::make_unique<ConfigurationExchange>(
+        m_loop, std::move(options), [this]() -> const schema::Configuration& { return m_host.configuration(); },
+        [this](const schema::Configuration& configuration) { applyConfiguration(configuration); });
+    return m_exchange->start();
+}
+
 ResultCode EntryDaemon::applyConfiguration(const schema::Configuration& configuration)
 {
     if (configuration.revision() <= m_host.configuration().revision())
@@ -124,6 +145,7 @@
         writeLog(LogLevel::Error, ResultCode::StorageFailed, "configuration is in force but not kept on disk");
     const ResultCode code = m_host.handleConfiguration(configuration, m_loop.now());
     finishRound();
+    m_exchange->revisionChanged();
     writeLog(LogLevel::Info, code, "configuration", { { "revision", std::to_string(configuration.revision()) } });
     return code;
 }
--- a/src/bergamotd/entry_daemon.h
+++ b/src/bergamotd/entry_daemon.h
@@ -3,6 +3,7 @@
 /// @file
 /// The shell around EntryHost: sockets, timers, health checks and configuration of one entry host.
 
+#include "bergamotd/configuration_exchange.h"
 #include "bergamotd/configuration_store.h"
 #include "bergamotroute/entry_host.h"
 #include "libbergamotio/event_loop.h"
@@ -57,6 +58,7 @@
     void logEvent(ResultCode code, std::string_view detail) override;
 
     std::error_code openListeners(std::string& detail);
+    std::error_code startExchange();
     void receiveFabric();
     void receivePeers();
     void handlePeerDatagram(std::span<const std::byte> datagram, const Endpoint& source);
@@ -80,6 +82,7 @@
     HttpServer m_operators;
     HttpServer m_announce;
     EntryHost m_host;
+    std::unique_ptr<ConfigurationExchange> m_exchange;
     Timer m_timer;
     std::unique_ptr<ReadWatch> m_fabricWatch;
     std::unique_ptr<ReadWatch> m_peerWatch;
