--- a/packaging/loopback-site.sh
+++ b/packaging/loopback-site.sh
@@ -69,22 +69,72 @@
   "operators": { "listen": "$address:7003", "token_file": "$site_folder/token" },
   "peers": [ $peers ],
   "data_folder": "$site_folder/entry-$1",
+  "control_endpoints": [ ${control_list:-} ],
   "fabric_send": "$fabric_return"
 }
 JSON
 }
 
+start_entry_host() { # number, further flags
+    local number=$1
+    shift
+    site_start "entry-$number" "$site_bin/bergamotd" --settings "$site_folder/entry-$number.json" "$@"
+}
+
+# Entry hosts with the configuration from a file, without control hosts.
 start_entry_hosts() { # total
     local number
     echo "$site_token" >"$site_folder/token"
     write_configuration
     for number in $(seq "$1"); do
         write_entry_settings "$number" "$1"
-        site_start "entry-$number" "$site_bin/bergamotd" --settings "$site_folder/entry-$number.json" \
-            --configuration "$site_folder/configuration.json"
+        start_entry_host "$number" --configuration "$site_folder/configuration.json"
+    done
+}
+
+# Entry hosts that get their configuration from three control hosts.
+start_controlled_entry_hosts() { # total
+    local number control_list
+    control_list=$(control_endpoints 3 7100 | sed 's/[^,]*/"&"/g')
+    for number in $(seq "$1"); do
+        write_entry_settings "$number" "$1"
+        start_entry_host "$number"
+    done
+}
+
+control_endpoints() { # total port
+    local list=() number
+    for number in $(seq "$1"); do list+=("$site_net.$((20 + number)):$2"); done
+    (IFS=,; echo "${list[*]}")
+}
+
+write_control_settings() { # number total
+    local members="" other address=$site_net.$((20 + $1))
+    for other in $(seq "$2"); do
+        members="$members${members:+, }{ \"host\": \"control-$other\", \"rpc_endpoint\": \"$site_net.$((20 + other)):7100\" }"
+    done
+    cat >"$site_folder/control-$1.json" <<JSON
+{
+  "host": "control-$1", "data_centre": "dc1", "rpc_listen": "$address:7100",
+  "operators": { "listen": "$address:7003", "token_file": "$site_folder/token" },
+  "data_folder": "$site_folder/control-$1", "initial_members": [ $members ]
+}
+JSON
+}
+
+start_control_hosts() { # total
+    local number
+    echo "$site_token" >"$site_folder/token"
+    for number in $(seq "$1"); do
+        write_control_settings "$number" "$1"
+        site_start "control-$number" "$site_bin/bergamot-control" --settings "$site_folder/control-$number.json"
     done
 }
 
+control() { # bergamotctl arguments
+    "$site_bin/bergamotctl" "$@" --control "$(control_endpoints 3 7003)" --token-file "$site_folder/token"
+}
+
 start_fabric() { # total, further flags
     local total=$1
     shift
