--- a/src/bergamotd/entry_daemon.cpp
+++ b/src/bergamotd/entry_daemon.cpp
@@ -14,6 +14,7 @@
 
     /// IPv4 and UDP headers, which count as control traffic.
     constexpr std::size_t datagramOverhead = 28;
+    constexpr unsigned mostBatchesPerTurn = 16;
 
     Endpoint parseEndpoint(const std::string& text)
     {
@@ -66,6 +67,7 @@
     , m_announce(loop)
     , m_host(toOptions(m_settings, loop), *this, loop.now())
     , m_timer(loop, [this] {
+        m_armedDeadline = noDeadline;
         m_host.advance(m_loop.now());
         finishRound();
     })
@@ -158,16 +160,28 @@
 }
 
 void EntryDaemon::receiveFabric()
+{
+    // Under load the next batch is there already; reading on saves a turn of the event loop for each batch. The limit
+    // keeps timers and heartbeats running.
+    for (unsigned batch = 0; batch < mostBatchesPerTurn; ++batch) {
+        if (receiveFabricBatch() == 0)
+            break;
+        m_fabric.flush();
+        m_peers.flush();
+    }
+    finishRound();
+}
+
+std::size_t EntryDaemon::receiveFabricBatch()
 {
     const TimePoint now = m_loop.now();
-    m_fabric.receive([&](std::span<const std::byte> packet, const Endpoint& source) {
+    return m_fabric.receive([&](std::span<const std::byte> packet, const Endpoint& source) {
         ++m_traffic.fabricPackets;
         if (m_settings.fabric_send().empty())
             m_fabricReturn = source;
         if (m_host.handlePacket(packet, now) != ResultCode::Ok)
             ++m_traffic.droppedPackets;
     });
-    finishRound();
 }
 
 void EntryDaemon::receivePeers()
@@ -210,7 +224,10 @@
         m_loop.stop();
         return;
     }
-    m_timer.startAt(m_host.nextDeadline());
+    if (const TimePoint deadline = m_host.nextDeadline(); deadline != m_armedDeadline) {
+        m_armedDeadline = deadline;
+        m_timer.startAt(deadline);
+    }
 }
 
 void EntryDaemon::forwardPacket(const Endpoint& target, std::span<const std::byte> packet)
--- a/src/bergamotd/entry_daemon.h
+++ b/src/bergamotd/entry_daemon.h
@@ -60,6 +60,7 @@
     std::error_code openListeners(std::string& detail);
     std::error_code startExchange();
     void receiveFabric();
+    std::size_t receiveFabricBatch();
     void receivePeers();
     void handlePeerDatagram(std::span<const std::byte> datagram, const Endpoint& source);
     /// Sends what the decision code queued and sets the timer for its next deadline.
@@ -84,6 +85,7 @@
     EntryHost m_host;
     std::unique_ptr<ConfigurationExchange> m_exchange;
     Timer m_timer;
+    TimePoint m_armedDeadline = noDeadline;
     std::unique_ptr<ReadWatch> m_fabricWatch;
     std::unique_ptr<ReadWatch> m_peerWatch;
 };
