--- /dev/null
+++ b/src/libbergamot/steering/flow_cache.cpp
@@ -0,0 +1,120 @@
+#include "steering/flow_cache.h"
+
+#include <bit>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Entries that are compared before one is evicted; the least recently seen of them goes.
+    constexpr std::size_t evictionSample = 16;
+    /// Slots that are searched for an entry that is not pinned.
+    constexpr std::size_t evictionReach = 1024;
+
+}
+
+FlowCache::FlowCache(std::uint32_t capacity, std::uint32_t bucketCount)
+    : m_capacity(capacity)
+    , m_bucketCount(bucketCount)
+{
+    m_slots.resize(std::bit_ceil(std::size_t { capacity } * 2));
+    m_mask = m_slots.size() - 1;
+}
+
+std::size_t FlowCache::slotOf(std::uint64_t flow) const
+{
+    std::size_t slot = flow & m_mask;
+    while (m_slots[slot].flow != 0 && m_slots[slot].flow != flow)
+        slot = (slot + 1) & m_mask;
+    return slot;
+}
+
+FlowEntry* FlowCache::insert(std::uint64_t flow, ServiceSlot service, TargetId target, FlowTick now)
+{
+    std::size_t slot = slotOf(flow);
+    if (m_slots[slot].flow == 0) {
+        if (m_size >= m_capacity) {
+            if (!evictNear(slot))
+                return nullptr;
+            slot = slotOf(flow);
+        }
+        ++m_size;
+    } else {
+        setPinned(m_slots[slot], false);
+    }
+    m_slots[slot] = FlowEntry { flow, target, now, now, service, 0 };
+    return &m_slots[slot];
+}
+
+void FlowCache::erase(std::uint64_t flow)
+{
+    const std::size_t slot = slotOf(flow);
+    if (m_slots[slot].flow == flow)
+        eraseSlot(slot);
+}
+
+void FlowCache::eraseSlot(std::size_t slot)
+{
+    setPinned(m_slots[slot], false);
+    --m_size;
+    std::size_t hole = slot;
+    for (std::size_t next = (slot + 1) & m_mask; m_slots[next].flow != 0; next = (next + 1) & m_mask) {
+        const std::size_t home = m_slots[next].flow & m_mask;
+        const bool mayMove = ((next - home) & m_mask) >= ((next - hole) & m_mask);
+        if (!mayMove)
+            continue;
+        m_slots[hole] = m_slots[next];
+        hole = next;
+    }
+    m_slots[hole] = FlowEntry {};
+}
+
+bool FlowCache::evictNear(std::size_t slot)
+{
+    std::size_t oldest = m_slots.size();
+    std::size_t sampled = 0;
+    for (std::size_t i = 0; i < evictionReach && sampled < evictionSample; ++i) {
+        const std::size_t candidate = (slot + i) & m_mask;
+        const FlowEntry& entry = m_slots[candidate];
+        if (entry.flow == 0 || entry.has(FlowPinned))
+            continue;
+        ++sampled;
+        if (oldest == m_slots.size() || entry.lastSeen < m_slots[oldest].lastSeen)
+            oldest = candidate;
+    }
+    if (oldest == m_slots.size())
+        return false;
+    eraseSlot(oldest);
+    return true;
+}
+
+std::uint32_t& FlowCache::pinnedCount(const FlowEntry& entry)
+{
+    const std::size_t index = std::size_t { entry.service } * m_bucketCount + bucketOf(entry.flow, m_bucketCount);
+    if (index >= m_pinnedInBucket.size())
+        m_pinnedInBucket.resize((std::size_t { entry.service } + 1) * m_bucketCount);
+    return m_pinnedInBucket[index];
+}
+
+void FlowCache::setPinned(FlowEntry& entry, bool pinned)
+{
+    if (entry.has(FlowPinned) == pinned)
+        return;
+    if (pinned) {
+        entry.set(FlowPinned);
+        ++m_pinned;
+        ++pinnedCount(entry);
+    } else {
+        entry.clear(FlowPinned);
+        --m_pinned;
+        --pinnedCount(entry);
+    }
+}
+
+std::uint32_t FlowCache::pinnedIn(ServiceSlot service, std::uint32_t bucket) const
+{
+    const std::size_t index = std::size_t { service } * m_bucketCount + bucket;
+    return index < m_pinnedInBucket.size() ? m_pinnedInBucket[index] : 0;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/steering/owner_decisions.cpp
@@ -0,0 +1,193 @@
+/// @file
+/// Decisions of the host that decides for a bucket, and of a host that is cut off.
+
+#include "steering/packet_path.h"
+
+namespace bergamotroute {
+
+namespace {
+
+    /// A first packet with the 5-tuple of a flow seen within this time belongs to the same target (section 5.15).
+    constexpr Duration sameTargetTime { 60'000 };
+    /// A host that was not heard for this long may be dead, so first packets do not go through it.
+    constexpr Duration backupSilence { 1'000 };
+    /// A host that hears no majority waits this long before it decides for itself (section 5.17). A shorter loss of
+    /// messages must not make two hosts decide differently.
+    constexpr Duration cutOffDelay { 3'000 };
+    /// Time without a majority after which an unknown flow is taken for an old one of the table.
+    constexpr Duration longCutOff { 10'000 };
+
+}
+
+ResultCode PacketPath::decide(const SteeredPacket& packet, const ServiceTable& table, TimePoint now)
+{
+    if (!packet.isUdp() && table.owners[packet.bucket].owner == m_state.self())
+        m_state.prober.handlePacket(packet.flow, *packet.view, now);
+    if (FlowEntry* entry = findUsable(packet, now))
+        return decideRecorded(packet, table, *entry, now);
+    return decideNew(packet, table, now);
+}
+
+ResultCode PacketPath::decideRecorded(
+    const SteeredPacket& packet, const ServiceTable& table, FlowEntry& entry, TimePoint now)
+{
+    const TargetId target = entry.target;
+    const bool isDecisive = entry.has(FlowRecorded) || entry.has(FlowDivergent);
+    const bool isOpen = isDecisive && entry.has(FlowEstablished) && !entry.has(FlowClosing);
+    if (packet.isFirst() && !isOpen && !isFresh(entry, sameTargetTime, now)) {
+        m_state.cache.erase(packet.flow);
+        return decideNew(packet, table, now);
+    }
+    const bool wasClosing = entry.has(FlowClosing);
+    touch(entry, packet, now);
+    // The backup learns the end of a flow and first packets that it may have missed.
+    const bool informsBackup = entry.has(FlowRecorded)
+        && ((packet.isFirst() && !entry.has(FlowEstablished)) || (entry.has(FlowClosing) && !wasClosing));
+    if (informsBackup)
+        return sendThroughBackup(packet, table, target, now);
+    if (packet.from != noHost && !packet.isFirst() && !packet.isUdp())
+        m_hints.add(packet.from, packet.flow, packet.slot, target);
+    return forward(packet, target, now);
+}
+
+ResultCode PacketPath::decideNew(const SteeredPacket& packet, const ServiceTable& table, TimePoint now)
+{
+    const Bucket& bucket = table.table.buckets[packet.bucket];
+    const bool isActiveMove = bucket.moved && table.isActive(packet.bucket);
+    const bool isNewFlow = packet.isFirst() || (packet.isUdp() && (isActiveMove || table.table.limited));
+    if (!isNewFlow)
+        return forwardToBase(packet, table, now);
+    const AdmissionVerdict verdict = admit(packet, table, now);
+    if (verdict == AdmissionVerdict::Refuse)
+        return refuse(packet);
+    if (verdict == AdmissionVerdict::DropSilently)
+        return drop(ResultCode::FlowLimitReached);
+    if (!bucket.moved)
+        return handleSettled(packet, bucket.base, now);
+    return recordNew(packet, table, isActiveMove ? bucket.current : bucket.base, now);
+}
+
+ResultCode PacketPath::forwardToBase(const SteeredPacket& packet, const ServiceTable& table, TimePoint now)
+{
+    const Bucket& bucket = table.table.buckets[packet.bucket];
+    if (bucket.base == noTarget)
+        return drop(ResultCode::NotReady);
+    // Until activation an unknown UDP packet may open a flow, which must stay on the base target afterwards.
+    if (packet.isUdp() && bucket.moved)
+        m_state.storeRecord(packet.flow, packet.slot, bucket.base, 0, now);
+    remember(packet, bucket.base, now);
+    if (packet.from != noHost && !packet.isUdp())
+        m_hints.add(packet.from, packet.flow, packet.slot, bucket.base);
+    return forward(packet, bucket.base, now);
+}
+
+ResultCode PacketPath::recordNew(const SteeredPacket& packet, const ServiceTable& table, TargetId target, TimePoint now)
+{
+    if (target == noTarget)
+        return drop(ResultCode::NotReady);
+    FlowEntry* entry = m_state.storeRecord(packet.flow, packet.slot, target, 0, now);
+    if (entry == nullptr)
+        return drop(ResultCode::FlowLimitReached);
+    touch(*entry, packet, now);
+    m_state.admission.countOpened(table.table.service, now);
+    m_transfer.addNewRecord(*entry);
+    return sendThroughBackup(packet, table, target, now);
+}
+
+HostIndex PacketPath::backupFor(const SteeredPacket& packet, const ServiceTable& table, TimePoint now) const
+{
+    const BucketOwners& owners = table.owners[packet.bucket];
+    // A former owner sends new flows through the new owner, which passes them on to the backup.
+    const HostIndex next = owners.owner != m_state.self() ? owners.owner : owners.backup;
+    const bool isUsable
+        = next != noHost && next != m_state.self() && m_state.membership.heardWithin(next, backupSilence, now);
+    return isUsable ? next : noHost;
+}
+
+ResultCode PacketPath::sendThroughBackup(
+    const SteeredPacket& packet, const ServiceTable& table, TargetId target, TimePoint now)
+{
+    const HostIndex backup = backupFor(packet, table, now);
+    if (backup == noHost)
+        return forward(packet, target, now);
+    return relay(packet, backup, RelayKind::RecordAndForward, target);
+}
+
+ResultCode PacketPath::handleWithoutQuorum(const SteeredPacket& packet, TimePoint now)
+{
+    if (FlowEntry* entry = findUsable(packet, now)) {
+        const bool decides = entry->has(FlowRecorded) || entry->has(FlowDivergent);
+        // An entry that repeats an old table is used only while it is fresh; its 5-tuple may have a new owner.
+        if (!packet.isFirst() || decides) {
+            const TargetId target = entry->target;
+            touch(*entry, packet, now);
+            return forward(packet, target, now);
+        }
+    }
+    const HostIndex peer = readyPeerFor(packet, now);
+    if (peer != noHost)
+        return relay(packet, peer, RelayKind::NotReady);
+    const HostIndex decider = cutOffDecider(packet, now);
+    if (decider != m_state.self() && decider != noHost)
+        return relay(packet, decider, RelayKind::NotReady);
+    return decideCutOff(packet, now);
+}
+
+HostIndex PacketPath::readyPeerFor(const SteeredPacket& packet, TimePoint now) const
+{
+    // While a majority is heard, some ready host can decide; while none is heard, the others cannot either.
+    if (!m_state.membership.hearsMajority(now))
+        return noHost;
+    HostMask candidates = 0;
+    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+        const bool isUsable = host != m_state.self() && m_state.membership.state(host) == schema::MEMBER_READY
+            && m_state.membership.heardWithin(host, m_state.options.deadAfter, now);
+        candidates |= isUsable ? hostBit(host) : 0;
+    }
+    return m_state.ownership.rank(candidates, m_state.services.info(packet.slot).id, packet.bucket).owner;
+}
+
+HostIndex PacketPath::cutOffDecider(const SteeredPacket& packet, TimePoint now) const
+{
+    HostMask candidates = hostBit(m_state.self());
+    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+        const bool isNeighbour = m_state.options.peers[host].dataCentre == m_state.options.dataCentre
+            && m_state.membership.heardWithin(host, m_state.options.deadAfter, now);
+        candidates |= isNeighbour ? hostBit(host) : 0;
+    }
+    return m_state.ownership.rank(candidates, m_state.services.info(packet.slot).id, packet.bucket).owner;
+}
+
+ResultCode PacketPath::decideCutOff(const SteeredPacket& packet, TimePoint now)
+{
+    if (FlowEntry* entry = findUsable(packet, now)) {
+        const TargetId target = entry->target;
+        touch(*entry, packet, now);
+        return forward(packet, target, now);
+    }
+    const bool isCutOff = m_state.cutOffSince != TimePoint::max() && now - m_state.cutOffSince >= cutOffDelay;
+    if (!isCutOff)
+        return drop(ResultCode::QuorumLost);
+    const ServiceTable* table = m_state.tableOf(packet.slot);
+    const bool isNewFlow = packet.isFirst() || (packet.isUdp() && table == nullptr);
+    if (!isNewFlow) {
+        const bool isOld = table != nullptr && now - m_state.cutOffSince >= longCutOff;
+        const TargetInfo* base = isOld ? m_state.targets.find(table->table.buckets[packet.bucket].base) : nullptr;
+        if (base == nullptr || base->dataCentre != m_state.options.dataCentre)
+            return drop(ResultCode::QuorumLost);
+        return forward(packet, base->id, now);
+    }
+    const TargetId target = m_state.targets.selectLocal(m_state.services.info(packet.slot).id, packet.flow);
+    if (target == noTarget)
+        return drop(ResultCode::QuorumLost);
+    FlowEntry* entry = m_state.cache.insert(packet.flow, packet.slot, target, flowTick(now));
+    if (entry == nullptr)
+        return drop(ResultCode::FlowLimitReached);
+    entry->set(FlowDivergent);
+    m_state.cache.setPinned(*entry, true);
+    touch(*entry, packet, now);
+    ++m_state.counters.divergent;
+    return forward(packet, target, now);
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/steering/packet_path.cpp
@@ -0,0 +1,295 @@
+#include "steering/packet_path.h"
+
+#include "bergamotroute/packet_builder.h"
+
+namespace bergamotroute {
+
+namespace {
+
+    /// A cached entry that only repeats what another host decided is used for this long after its last packet. A
+    /// caller's stack does not use a 5-tuple again sooner.
+    constexpr Duration cacheFreshness { 30'000 };
+    /// A flow to a target that has left is over when it was idle for this long.
+    constexpr Duration goneTargetTime { 60'000 };
+    /// A host that was not heard for this long may be dead, so packets do not go through it as backup.
+    constexpr Duration backupSilence { 1'000 };
+    /// Share of the cache that pinned records may fill.
+    constexpr std::uint64_t pinnedShareNumerator = 3;
+    constexpr std::uint64_t pinnedShareDenominator = 4;
+    /// Time after which no host can still hold an earlier copy of a refused first packet (section 5.20).
+    constexpr Duration silentDropTime { 3'000 };
+
+}
+
+PacketPath::PacketPath(SteeringState& state, RecordTransfer& transfer, HintQueue& hints)
+    : m_state(state)
+    , m_transfer(transfer)
+    , m_hints(hints)
+{
+}
+
+ResultCode PacketPath::drop(ResultCode reason)
+{
+    ++m_state.counters.dropped;
+    return reason;
+}
+
+ResultCode PacketPath::relay(const SteeredPacket& packet, HostIndex peer, RelayKind kind, TargetId target)
+{
+    ++m_state.counters.relayed;
+    m_state.sink.relayPacket(peer, kind, target, packet.bytes);
+    return ResultCode::Ok;
+}
+
+ResultCode PacketPath::forward(const SteeredPacket& packet, TargetId target, TimePoint now)
+{
+    const TargetInfo* info = m_state.targets.find(target);
+    if (info == nullptr)
+        return drop(ResultCode::TargetRemoved);
+    // An entry of another service must never take a packet of this one (promise 2).
+    if (info->service != m_state.services.info(packet.slot).id)
+        return drop(ResultCode::PacketUnknownService);
+    ++m_state.counters.forwarded;
+    if (packet.isFirst()) {
+        ++m_state.counters.firstPackets;
+        m_state.targets.countFirstPacket(target, now);
+    }
+    m_state.sink.forwardPacket(info->endpoint, packet.bytes);
+    return ResultCode::Ok;
+}
+
+bool PacketPath::isFresh(const FlowEntry& entry, Duration limit, TimePoint now) const
+{
+    constexpr std::int64_t tickMs = 100;
+    return std::int64_t { flowTick(now) - entry.lastSeen } * tickMs <= limit.count();
+}
+
+FlowEntry* PacketPath::findUsable(const SteeredPacket& packet, TimePoint now)
+{
+    FlowEntry* entry = m_state.cache.find(packet.flow, packet.slot);
+    if (entry == nullptr)
+        return nullptr;
+    const TargetInfo* target = m_state.targets.find(entry->target);
+    const ServiceInfo& service = m_state.services.info(packet.slot);
+    const bool udpEnded = packet.isUdp() && !isFresh(*entry, service.udpIdle, now);
+    // Flows that are still open on a target that has left, for example for want of announcements, stay there.
+    const bool targetEnded = target != nullptr && target->gone && !isFresh(*entry, goneTargetTime, now);
+    if (targetEnded || udpEnded) {
+        m_state.cache.erase(packet.flow);
+        return nullptr;
+    }
+    if (target == nullptr)
+        return nullptr;
+    const bool decides = entry->has(FlowRecorded) || entry->has(FlowDivergent);
+    return decides || isFresh(*entry, cacheFreshness, now) ? entry : nullptr;
+}
+
+void PacketPath::touch(FlowEntry& entry, const SteeredPacket& packet, TimePoint now)
+{
+    entry.lastSeen = flowTick(now);
+    if (!packet.isFirst())
+        entry.set(FlowEstablished);
+    if (!packet.endsFlow() || entry.has(FlowClosing))
+        return;
+    entry.set(FlowClosing);
+    m_state.admission.countEnded(m_state.services.info(packet.slot).id, now);
+    m_state.prober.forget(packet.flow);
+}
+
+FlowEntry* PacketPath::remember(const SteeredPacket& packet, TargetId target, TimePoint now)
+{
+    FlowEntry* entry = m_state.cache.find(packet.flow, packet.slot);
+    if (entry == nullptr || entry->target != target)
+        entry = m_state.cache.insert(packet.flow, packet.slot, target, flowTick(now));
+    if (entry != nullptr)
+        touch(*entry, packet, now);
+    return entry;
+}
+
+bool PacketPath::mayUseDirectly(const ServiceTable& table, std::uint32_t bucket, TimePoint now) const
+{
+    const HostIndex decider = m_state.decider(table, bucket);
+    if (decider == m_state.self())
+        return true;
+    if (decider == noHost)
+        return false;
+    // The owner may have activated a newer table for hosts that lost their lease, so an older table is no ground to
+    // act.
+    const bool isCurrent = table.hosts[decider].advertised <= table.table.version;
+    return isCurrent && m_state.membership.peer(decider).leaseUntil > now;
+}
+
+ResultCode PacketPath::handleFabricPacket(const SteeredPacket& packet, TimePoint now)
+{
+    ServiceTable* table = m_state.tableOf(packet.slot);
+    if (table == nullptr || !m_state.isActing(now))
+        return handleWithoutQuorum(packet, now);
+    const Bucket& bucket = table->table.buckets[packet.bucket];
+    if (mayAnswerProbe(packet, now))
+        return sendToDecider(packet, *table, now);
+    if (FlowEntry* entry = findUsable(packet, now)) {
+        const bool endsLimitedFlow = packet.endsFlow() && m_state.services.info(packet.slot).limitsOpenFlows;
+        const bool ownerDecides = bucket.moved && (packet.isFirst() || packet.isUdp() || packet.endsFlow());
+        return handleCached(packet, *table, *entry, ownerDecides || endsLimitedFlow, now);
+    }
+    const bool ownerAdmits = table->table.limited && (packet.isFirst() || packet.isUdp());
+    if (bucket.moved || ownerAdmits || !mayUseDirectly(*table, packet.bucket, now))
+        return sendToDecider(packet, *table, now);
+    return handleSettled(packet, bucket.base, now);
+}
+
+ResultCode PacketPath::handleCached(
+    const SteeredPacket& packet, const ServiceTable& table, FlowEntry& entry, bool needsOwner, TimePoint now)
+{
+    if (needsOwner)
+        return sendToDecider(packet, table, now);
+    const TargetId target = entry.target;
+    // A fresh first packet of a settled bucket may open a new connection, which must not follow an outdated entry.
+    const TargetId base = table.table.buckets[packet.bucket].base;
+    if (packet.isFirst() && target != base && !entry.has(FlowRecorded) && !entry.has(FlowDivergent))
+        return sendToDecider(packet, table, now);
+    touch(entry, packet, now);
+    if (!packet.isUdp() && table.owners[packet.bucket].owner == m_state.self())
+        m_state.prober.handlePacket(packet.flow, *packet.view, now);
+    return forward(packet, target, now);
+}
+
+bool PacketPath::mayAnswerProbe(const SteeredPacket& packet, TimePoint now) const
+{
+    const bool isPureAck = packet.view->tcpFlags == TcpAck && packet.view->payload.empty();
+    if (!isPureAck)
+        return false;
+    const FlowEntry* entry = m_state.cache.find(packet.flow, packet.slot);
+    return entry == nullptr || !isFresh(*entry, m_state.services.info(packet.slot).probeIdle / 2, now);
+}
+
+ResultCode PacketPath::handleSettled(const SteeredPacket& packet, TargetId base, TimePoint now)
+{
+    if (base == noTarget)
+        return drop(ResultCode::NotReady);
+    const bool isKnown = m_state.cache.find(packet.flow, packet.slot) != nullptr;
+    remember(packet, base, now);
+    if (packet.isFirst())
+        m_state.recent.add({ packet.flow, base, packet.slot, now });
+    if (!packet.isUdp() && m_state.tables[packet.slot].owners[packet.bucket].owner == m_state.self())
+        m_state.prober.handlePacket(packet.flow, *packet.view, now);
+    if (!isKnown && (packet.isFirst() || packet.isUdp()))
+        m_state.admission.countOpened(m_state.services.info(packet.slot).id, now);
+    return forward(packet, base, now);
+}
+
+ResultCode PacketPath::sendToDecider(const SteeredPacket& packet, const ServiceTable& table, TimePoint now)
+{
+    const HostIndex decider = m_state.decider(table, packet.bucket);
+    if (decider == m_state.self())
+        return decide(packet, m_state.tables[packet.slot], now);
+    if (decider == noHost)
+        return drop(ResultCode::NotReady);
+    return relay(packet, decider, RelayKind::ToOwner);
+}
+
+ResultCode PacketPath::handleRelayedPacket(const SteeredPacket& packet, TargetId target, TimePoint now)
+{
+    if (packet.kind == RelayKind::RecordAndForward)
+        return recordAndForward(packet, target, now);
+    if (packet.kind == RelayKind::NotReady) {
+        if (m_state.isActing(now) && m_state.tableOf(packet.slot) != nullptr)
+            return handleFabricPacket(packet, now);
+        return decideCutOff(packet, now);
+    }
+    return handleToOwner(packet, now);
+}
+
+ResultCode PacketPath::handleToOwner(const SteeredPacket& packet, TimePoint now)
+{
+    ServiceTable* table = m_state.tableOf(packet.slot);
+    if (table == nullptr || !m_state.isActing(now))
+        return forwardRecorded(packet, now);
+    const HostIndex decider = m_state.decider(*table, packet.bucket);
+    // The new owner asks its predecessor; the predecessor may know less of the new view than the new owner does.
+    const bool isAsked = packet.kind == RelayKind::ToPreviousOwner && packet.from == decider;
+    if (decider == m_state.self() || isAsked)
+        return decide(packet, *table, now);
+    // One further hop at most, so that hosts with different views never pass a packet round in a circle.
+    if (packet.kind == RelayKind::ToPreviousOwner || decider == noHost || decider == packet.from)
+        return forwardRecorded(packet, now);
+    if (const FlowEntry* entry = findUsable(packet, now);
+        entry != nullptr && entry->has(FlowRecorded) && !packet.isFirst())
+        return forwardRecorded(packet, now);
+    return relay(packet, decider, RelayKind::ToPreviousOwner);
+}
+
+ResultCode PacketPath::forwardRecorded(const SteeredPacket& packet, TimePoint now)
+{
+    FlowEntry* entry = findUsable(packet, now);
+    if (entry == nullptr || !entry->has(FlowRecorded) || packet.isFirst())
+        return drop(ResultCode::NotReady);
+    touch(*entry, packet, now);
+    return forward(packet, entry->target, now);
+}
+
+ResultCode PacketPath::recordAndForward(const SteeredPacket& packet, TargetId target, TimePoint now)
+{
+    const TargetInfo* info = m_state.targets.find(target);
+    if (info == nullptr || info->service != m_state.services.info(packet.slot).id)
+        return drop(ResultCode::TargetRemoved);
+    const FlowEntry* known = m_state.cache.find(packet.flow, packet.slot);
+    const bool isKnown = known != nullptr && known->target == target && known->has(FlowRecorded);
+    FlowEntry* entry = m_state.storeRecord(packet.flow, packet.slot, target, 0, now);
+    if (entry != nullptr)
+        touch(*entry, packet, now);
+    const ServiceTable* table = m_state.tableOf(packet.slot);
+    // The former owner sends new flows through the new owner; the backup gets them from there. A known record is not
+    // passed on again, so that two hosts that each take the other for the former owner do not pass a packet for ever.
+    const bool isOwner = table != nullptr && table->owners[packet.bucket].owner == m_state.self();
+    if (isOwner && !isKnown) {
+        const HostIndex backup = table->owners[packet.bucket].backup;
+        const bool isUsable
+            = backup != noHost && backup != packet.from && m_state.membership.heardWithin(backup, backupSilence, now);
+        if (isUsable)
+            return relay(packet, backup, RelayKind::RecordAndForward, target);
+    }
+    return forward(packet, target, now);
+}
+
+ResultCode PacketPath::refuse(const SteeredPacket& packet)
+{
+    ++m_state.counters.refused;
+    if (packet.isUdp())
+        return ResultCode::FlowRefused;
+    const FlowKey& flow = packet.view->flow;
+    const FlowKey reverse { flow.destination, flow.source, flow.destinationPort, flow.sourcePort, flow.protocol };
+    const TcpFields fields { .flags = TcpRst | TcpAck, .acknowledgement = packet.view->sequence + 1, .window = 0 };
+    m_state.sink.sendToCaller(buildTcpPacket(reverse, fields));
+    return ResultCode::FlowRefused;
+}
+
+AdmissionVerdict PacketPath::pinnedVerdict(TimePoint now)
+{
+    const std::uint64_t limit = m_state.cache.capacity() * pinnedShareNumerator / pinnedShareDenominator;
+    if (m_state.cache.pinned() < limit) {
+        m_pinnedLimitSince = TimePoint::max();
+        return AdmissionVerdict::Admit;
+    }
+    if (m_pinnedLimitSince == TimePoint::max())
+        m_pinnedLimitSince = now;
+    return now - m_pinnedLimitSince < silentDropTime ? AdmissionVerdict::DropSilently : AdmissionVerdict::Refuse;
+}
+
+AdmissionVerdict PacketPath::admit(const SteeredPacket& packet, const ServiceTable& table, TimePoint now)
+{
+    const Bucket& bucket = table.table.buckets[packet.bucket];
+    if (bucket.moved && bucket.base != bucket.current) {
+        const AdmissionVerdict verdict = pinnedVerdict(now);
+        if (verdict != AdmissionVerdict::Admit)
+            return verdict;
+    }
+    if (!table.table.limited)
+        return AdmissionVerdict::Admit;
+    const AdmissionVerdict verdict = m_state.admission.admit(table.table.service, now);
+    // Until the mark is in force everywhere, another host may have forwarded an earlier copy of this packet.
+    const bool inForce = table.activeVersion >= table.limitedSince;
+    return verdict == AdmissionVerdict::Refuse && !inForce ? AdmissionVerdict::DropSilently : verdict;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/steering/table_distribution.cpp
@@ -0,0 +1,318 @@
+#include "steering/table_distribution.h"
+
+#include <algorithm>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// First packets that acknowledgements list (section 5.6).
+    constexpr Duration recentTime { 3'000 };
+    constexpr Duration requestInterval { 300 };
+    constexpr Duration targetRequestInterval { 1'000 };
+    /// 100 flows of 12 bytes fit a datagram that no network splits.
+    constexpr std::size_t flowsPerChunk = 100;
+
+}
+
+TableDistribution::TableDistribution(SteeringState& state)
+    : m_state(state)
+{
+}
+
+void TableDistribution::handleConfiguration()
+{
+    const std::size_t known = m_state.tables.size();
+    m_state.tables.resize(m_state.services.size());
+    for (std::size_t slot = known; slot < m_state.tables.size(); ++slot) {
+        ServiceTable& table = m_state.tables[slot];
+        table.hosts.resize(m_state.options.peers.size());
+        table.owners.resize(m_state.bucketCount());
+        table.stableOwners.assign(m_state.bucketCount(), noHost);
+        table.movedSince.resize(m_state.bucketCount());
+        table.reportedClear.resize(m_state.bucketCount());
+        table.reportedDivergent.resize(m_state.bucketCount());
+        table.table.service = m_state.services.info(static_cast<ServiceSlot>(slot)).id;
+        const HostMask ready = m_state.membership.readyHosts();
+        for (std::uint32_t bucket = 0; bucket < m_state.bucketCount(); ++bucket) {
+            table.owners[bucket] = m_state.ownership.rank(ready, table.table.service, bucket);
+            table.stableOwners[bucket] = table.owners[bucket].owner;
+        }
+    }
+}
+
+void TableDistribution::repin(ServiceSlot slot)
+{
+    m_state.cache.forEach([&](FlowEntry& entry) {
+        if (entry.service == slot)
+            m_state.cache.setPinned(entry, m_state.mustPin(entry));
+    });
+}
+
+void TableDistribution::apply(ServiceSlot slot, BucketTable table, TimePoint now)
+{
+    m_state.tables[slot].replace(std::move(table), now);
+    repin(slot);
+    // Flows that this host forwarded itself are part of what it must know as owner.
+    for (const RecentFlow& flow : flowsFor(slot, m_state.self(), now))
+        m_state.storeRecord(flow.flow, slot, flow.target, 0, now);
+    if (m_state.isAlive(m_state.self())) {
+        for (HostIndex peer = 0; peer < m_state.options.peers.size(); ++peer) {
+            if (peer != m_state.self() && m_state.isAlive(peer))
+                acknowledge(slot, peer, now);
+        }
+    }
+    updateActive(slot, now);
+}
+
+void TableDistribution::handleUpdate(HostIndex from, const schema::TableUpdate& update, TimePoint now)
+{
+    const ServiceSlot slot = m_state.services.findById(update.service_id());
+    if (slot == noService || update.version() <= m_state.tables[slot].table.version)
+        return;
+    std::optional<BucketTable> table = decodeTable(update, m_state.tables[slot].table, m_state.bucketCount());
+    if (!table) {
+        request(from, slot, now);
+        return;
+    }
+    apply(slot, std::move(*table), now);
+}
+
+bool TableDistribution::holdsBucket(const ServiceTable& table, HostIndex peer, std::uint32_t bucket) const
+{
+    const BucketOwners& owners = table.owners[bucket];
+    return owners.owner == peer || owners.backup == peer || table.stableOwners[bucket] == peer;
+}
+
+void TableDistribution::addRecentFlows(ServiceSlot slot, HostIndex peer, std::vector<RecentFlow>& flows) const
+{
+    const ServiceTable& table = m_state.tables[slot];
+    m_state.recent.forEach(table.appliedAt - recentTime, table.appliedAt, [&](const RecentFlow& flow) {
+        const std::uint32_t bucket = bucketOf(flow.flow, m_state.bucketCount());
+        if (flow.service == slot && table.table.buckets[bucket].moved && holdsBucket(table, peer, bucket))
+            flows.push_back(flow);
+    });
+}
+
+void TableDistribution::addUdpFlows(ServiceSlot slot, HostIndex peer, std::vector<RecentFlow>& flows, TimePoint now)
+{
+    const ServiceTable& table = m_state.tables[slot];
+    constexpr std::int64_t tickMs = 100;
+    const std::int64_t idleTicks = m_state.services.info(slot).udpIdle.count() / tickMs;
+    m_state.cache.forEach([&](const FlowEntry& entry) {
+        const bool isLive = entry.service == slot && flowTick(now) - entry.lastSeen <= idleTicks;
+        const std::uint32_t bucket = bucketOf(entry.flow, m_state.bucketCount());
+        const bool justMoved = table.table.buckets[bucket].moved && table.movedSince[bucket] > table.activeVersion;
+        if (isLive && justMoved && holdsBucket(table, peer, bucket))
+            flows.push_back({ entry.flow, entry.target, slot, now });
+    });
+}
+
+std::vector<RecentFlow> TableDistribution::flowsFor(ServiceSlot slot, HostIndex peer, TimePoint now)
+{
+    std::vector<RecentFlow> flows;
+    if (m_state.services.info(slot).protocol == TransportProtocol::Udp)
+        addUdpFlows(slot, peer, flows, now);
+    else
+        addRecentFlows(slot, peer, flows);
+    return flows;
+}
+
+void TableDistribution::acknowledge(ServiceSlot slot, HostIndex peer, TimePoint now)
+{
+    const std::vector<RecentFlow> flows = flowsFor(slot, peer, now);
+    const std::size_t chunks = std::max<std::size_t>(1, (flows.size() + flowsPerChunk - 1) / flowsPerChunk);
+    for (std::size_t chunk = 0; chunk < chunks; ++chunk) {
+        schema::PeerMessage message;
+        schema::TableAcknowledgement& acknowledgement = *message.mutable_table_acknowledgement();
+        acknowledgement.set_service_id(m_state.tables[slot].table.service);
+        acknowledgement.set_version(m_state.tables[slot].table.version);
+        acknowledgement.set_chunk(static_cast<std::uint32_t>(chunk));
+        acknowledgement.set_chunk_count(static_cast<std::uint32_t>(chunks));
+        const std::size_t end = std::min(flows.size(), (chunk + 1) * flowsPerChunk);
+        for (std::size_t i = chunk * flowsPerChunk; i < end; ++i) {
+            acknowledgement.add_recent_flows(flows[i].flow);
+            acknowledgement.add_recent_targets(flows[i].target);
+        }
+        m_state.sender.sendUrgent(peer, message, now);
+    }
+}
+
+void TableDistribution::acknowledgeAll(TimePoint now)
+{
+    for (ServiceSlot slot = 0; slot < m_state.tables.size(); ++slot) {
+        for (HostIndex peer = 0; peer < m_state.options.peers.size(); ++peer) {
+            if (m_state.tables[slot].exists() && peer != m_state.self() && m_state.isAlive(peer))
+                acknowledge(slot, peer, now);
+        }
+    }
+}
+
+void TableDistribution::handleAcknowledgement(
+    HostIndex from, const schema::TableAcknowledgement& acknowledgement, TimePoint now)
+{
+    const ServiceSlot slot = m_state.services.findById(acknowledgement.service_id());
+    const bool isMalformed = acknowledgement.recent_flows_size() != acknowledgement.recent_targets_size()
+        || acknowledgement.chunk() >= acknowledgement.chunk_count();
+    if (slot == noService || isMalformed)
+        return;
+    HostTableState& host = m_state.tables[slot].hosts[from];
+    for (int i = 0; i < acknowledgement.recent_flows_size(); ++i) {
+        const FlowEntry* known = m_state.cache.find(acknowledgement.recent_flows(i), slot);
+        if (known == nullptr || !known->has(FlowRecorded))
+            m_state.storeRecord(acknowledgement.recent_flows(i), slot, acknowledgement.recent_targets(i), 0, now);
+    }
+    if (host.pendingVersion != acknowledgement.version() || host.chunks.size() != acknowledgement.chunk_count()) {
+        host.pendingVersion = acknowledgement.version();
+        host.chunks.assign(acknowledgement.chunk_count(), false);
+    }
+    host.chunks[acknowledgement.chunk()] = true;
+    if (std::find(host.chunks.begin(), host.chunks.end(), false) != host.chunks.end())
+        return;
+    host.acknowledged = std::max(host.acknowledged, acknowledgement.version());
+    updateActive(slot, now);
+}
+
+void TableDistribution::request(HostIndex peer, ServiceSlot slot, TimePoint now)
+{
+    ServiceTable& table = m_state.tables[slot];
+    if (table.lastRequest != TimePoint::min() && now - table.lastRequest < requestInterval)
+        return;
+    table.lastRequest = now;
+    schema::PeerMessage message;
+    message.mutable_table_request()->set_service_id(table.table.service);
+    message.mutable_table_request()->set_have_version(table.table.version);
+    m_state.sender.sendUrgent(peer, message, now);
+}
+
+void TableDistribution::handleRequest(HostIndex from, const schema::TableRequest& request, TimePoint now)
+{
+    if (request.service_id() == 0) {
+        schema::PeerMessage message;
+        *message.mutable_target_update() = m_state.targets.fullUpdate(now);
+        m_state.sender.sendUrgent(from, message, now);
+        return;
+    }
+    const ServiceSlot slot = m_state.services.findById(request.service_id());
+    const ServiceTable* table = m_state.tableOf(slot);
+    if (table == nullptr || request.have_version() > table->table.version)
+        return;
+    if (request.have_version() == table->table.version) {
+        acknowledge(slot, from, now);
+        return;
+    }
+    schema::PeerMessage message;
+    *message.mutable_table_update() = encodeTable(table->table, nullptr);
+    m_state.sender.sendUrgent(from, message, now);
+}
+
+void TableDistribution::handleHeartbeat(HostIndex from, const schema::Heartbeat& heartbeat, TimePoint now)
+{
+    for (const schema::TableVersion& version : heartbeat.tables()) {
+        const ServiceSlot slot = m_state.services.findById(version.service_id());
+        if (slot == noService)
+            continue;
+        HostTableState& host = m_state.tables[slot].hosts[from];
+        host.advertised = std::max(host.advertised, version.version());
+        if (version.version() > m_state.tables[slot].table.version)
+            request(from, slot, now);
+    }
+}
+
+void TableDistribution::fillHeartbeat(schema::Heartbeat& heartbeat) const
+{
+    for (const ServiceTable& table : m_state.tables) {
+        if (!table.exists())
+            continue;
+        schema::TableVersion& version = *heartbeat.add_tables();
+        version.set_service_id(table.table.service);
+        version.set_version(table.table.version);
+    }
+}
+
+void TableDistribution::forgetHost(HostIndex host)
+{
+    for (ServiceTable& table : m_state.tables)
+        table.hosts[host] = HostTableState {};
+}
+
+bool TableDistribution::isCurrent() const
+{
+    for (ServiceSlot slot = 0; slot < m_state.tables.size(); ++slot) {
+        for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+            if (host != m_state.self() && m_state.isAlive(host)
+                && m_state.tables[slot].hosts[host].advertised > m_state.tables[slot].table.version)
+                return false;
+        }
+    }
+    return true;
+}
+
+bool TableDistribution::isExempt(HostIndex host, TimePoint now) const
+{
+    // The lease of a silent host has ended only if that host knew the present owners; else it may hold a lease of a
+    // former owner.
+    const bool knowsView = m_state.membership.peer(host).readyHosts == m_state.membership.readyHosts();
+    return knowsView && !m_state.membership.heardWithin(host, m_state.options.deadAfter, now);
+}
+
+void TableDistribution::updateActive(ServiceSlot slot, TimePoint now)
+{
+    ServiceTable& table = m_state.tables[slot];
+    if (!m_state.isActing(now))
+        return;
+    std::uint64_t active = table.table.version;
+    std::size_t acknowledged = 1;
+    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+        if (host == m_state.self() || !m_state.isAlive(host))
+            continue;
+        const std::uint64_t version = table.hosts[host].acknowledged;
+        acknowledged += version >= table.table.version ? 1 : 0;
+        if (!isExempt(host, now))
+            active = std::min(active, version);
+    }
+    // A majority must know the version, so that a new table leader cannot miss it.
+    if (active == table.table.version && acknowledged < m_state.membership.majority())
+        return;
+    table.activeVersion = std::max(table.activeVersion, active);
+}
+
+void TableDistribution::requestMissing(ServiceSlot slot, TimePoint now)
+{
+    const ServiceTable& table = m_state.tables[slot];
+    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+        if (host == m_state.self() || !m_state.isAlive(host))
+            continue;
+        const HostTableState& known = table.hosts[host];
+        const bool lacksTable = known.advertised > table.table.version;
+        const bool lacksAcknowledgement
+            = known.acknowledged < table.table.version && known.advertised >= table.table.version;
+        if (lacksTable || lacksAcknowledgement) {
+            request(host, slot, now);
+            return;
+        }
+    }
+}
+
+void TableDistribution::advance(TimePoint now)
+{
+    if (!m_state.isActing(now))
+        m_actingSince = TimePoint::max();
+    else if (m_actingSince == TimePoint::max())
+        m_actingSince = now;
+    const bool reportsDue = now >= m_nextReport;
+    if (reportsDue)
+        m_nextReport = now + targetRequestInterval;
+    for (ServiceSlot slot = 0; slot < m_state.tables.size(); ++slot) {
+        if (!m_state.services.info(slot).exists)
+            continue;
+        requestMissing(slot, now);
+        updateActive(slot, now);
+        if (reportsDue)
+            reportBuckets(slot, now);
+        if (mayPlan(slot, now))
+            plan(slot, now);
+    }
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/steering/table_distribution.h
@@ -0,0 +1,64 @@
+#pragma once
+
+/// @file
+/// Plans, publishes, fetches and acknowledges tables. docs/design.md, sections 5.6 to 5.10.
+
+#include "steering/steering_state.h"
+
+namespace bergamotroute {
+
+/// Two-phase change of the tables of all services on one host.
+class TableDistribution {
+public:
+    explicit TableDistribution(SteeringState& state);
+
+    /// Prepares tables for services that the configuration has added.
+    void handleConfiguration();
+
+    void handleUpdate(HostIndex from, const schema::TableUpdate& update, TimePoint now);
+    void handleAcknowledgement(HostIndex from, const schema::TableAcknowledgement& acknowledgement, TimePoint now);
+    void handleRequest(HostIndex from, const schema::TableRequest& request, TimePoint now);
+    void handleReport(HostIndex from, const schema::BucketReport& report);
+    void handleHeartbeat(HostIndex from, const schema::Heartbeat& heartbeat, TimePoint now);
+    void fillHeartbeat(schema::Heartbeat& heartbeat) const;
+
+    /// Plans tables as leader, repeats requests and activates versions.
+    void advance(TimePoint now);
+
+    /// Acknowledges the present tables to all hosts, because this host has become ready.
+    void acknowledgeAll(TimePoint now);
+
+    /// Forgets what a host has acknowledged, because another incarnation has taken its place.
+    void forgetHost(HostIndex host);
+
+    /// @return true if this host has every table version that ready hosts advertise.
+    bool isCurrent() const;
+
+private:
+    void apply(ServiceSlot slot, BucketTable table, TimePoint now);
+    void repin(ServiceSlot slot);
+    void acknowledge(ServiceSlot slot, HostIndex peer, TimePoint now);
+    std::vector<RecentFlow> flowsFor(ServiceSlot slot, HostIndex peer, TimePoint now);
+    void addRecentFlows(ServiceSlot slot, HostIndex peer, std::vector<RecentFlow>& flows) const;
+    void addUdpFlows(ServiceSlot slot, HostIndex peer, std::vector<RecentFlow>& flows, TimePoint now);
+    bool holdsBucket(const ServiceTable& table, HostIndex peer, std::uint32_t bucket) const;
+    void request(HostIndex peer, ServiceSlot slot, TimePoint now);
+    void requestMissing(ServiceSlot slot, TimePoint now);
+    void updateActive(ServiceSlot slot, TimePoint now);
+    bool isExempt(HostIndex host, TimePoint now) const;
+    void reportBuckets(ServiceSlot slot, TimePoint now);
+    void plan(ServiceSlot slot, TimePoint now);
+    bool mayPlan(ServiceSlot slot, TimePoint now) const;
+    BucketTable merge(ServiceSlot slot, const BucketTable* planned, TimePoint now) const;
+    Bucket mergeBucket(
+        const ServiceTable& table, std::uint32_t bucket, const BucketTable* planned, TimePoint now) const;
+    bool isGone(TargetId target, TimePoint now) const;
+    void publish(ServiceSlot slot, BucketTable next, TimePoint now);
+
+    SteeringState& m_state;
+    TimePoint m_nextReport = TimePoint::min();
+    TimePoint m_actingSince = TimePoint::max();
+    TimePoint m_lastTargetRequest = TimePoint::min();
+};
+
+}
--- /dev/null
+++ b/src/libbergamot/steering/table_planning.cpp
@@ -0,0 +1,154 @@
+/// @file
+/// The table leader's part of table changes, and the owners' reports to it.
+
+#include "steering/table_distribution.h"
+
+namespace bergamotroute {
+
+namespace {
+
+    /// A leader that became ready less than this ago may not know all targets yet.
+    constexpr Duration unknownTargetTime { 15'000 };
+
+}
+
+bool TableDistribution::mayPlan(ServiceSlot slot, TimePoint now) const
+{
+    const ServiceTable& table = m_state.tables[slot];
+    const HostIndex leader = m_state.ownership.tableLeader(m_state.membership.readyHosts(), table.table.service);
+    if (leader != m_state.self() || !m_state.isActing(now))
+        return false;
+    // A version that the leader plans must contain every version that any host may have activated.
+    for (const HostTableState& host : table.hosts) {
+        if (host.advertised > table.table.version)
+            return false;
+    }
+    // While hosts disagree about the ready hosts, another host may hold itself for the leader too.
+    return table.exists() || m_state.membership.hostsWithOtherView() == 0;
+}
+
+bool TableDistribution::isGone(TargetId target, TimePoint now) const
+{
+    const TargetInfo* info = m_state.targets.find(target);
+    if (info != nullptr)
+        return info->gone;
+    return target != noTarget && now - m_actingSince > unknownTargetTime;
+}
+
+Bucket TableDistribution::mergeBucket(
+    const ServiceTable& table, std::uint32_t index, const BucketTable* planned, TimePoint now) const
+{
+    Bucket bucket = table.table.buckets[index];
+    const bool isPlanned = planned != nullptr && index < planned->buckets.size();
+    const TargetId desired = isPlanned ? planned->buckets[index].current : bucket.current;
+    if (bucket.base == noTarget)
+        return { desired, desired, false };
+    if (!bucket.moved) {
+        if (desired != bucket.base && desired != noTarget)
+            return { bucket.base, desired, true };
+        bucket.moved = table.reportedDivergent[index];
+        return bucket;
+    }
+    if (desired != noTarget)
+        bucket.current = desired;
+    // Hosts with an older table still send new flows to the base target until the move is active.
+    if (bucket.base != bucket.current && isGone(bucket.base, now) && table.isActive(index))
+        bucket.base = bucket.current;
+    const bool isUnchanged = bucket == table.table.buckets[index];
+    if (isUnchanged && bucket.base == bucket.current && table.reportedClear[index])
+        bucket.moved = false;
+    return bucket;
+}
+
+BucketTable TableDistribution::merge(ServiceSlot slot, const BucketTable* planned, TimePoint now) const
+{
+    const ServiceTable& table = m_state.tables[slot];
+    BucketTable next = table.table;
+    next.limited = m_state.admission.isLimited(table.table.service);
+    if (!table.exists()) {
+        if (planned == nullptr)
+            return next;
+        next.buckets.resize(m_state.bucketCount());
+        for (std::size_t bucket = 0; bucket < next.buckets.size() && bucket < planned->buckets.size(); ++bucket) {
+            const TargetId target = planned->buckets[bucket].current;
+            next.buckets[bucket] = { target, target, false };
+        }
+        return next;
+    }
+    for (std::uint32_t bucket = 0; bucket < next.buckets.size(); ++bucket)
+        next.buckets[bucket] = mergeBucket(table, bucket, planned, now);
+    return next;
+}
+
+void TableDistribution::plan(ServiceSlot slot, TimePoint now)
+{
+    const ServiceTable& table = m_state.tables[slot];
+    const BucketTable* present = table.exists() ? &table.table : nullptr;
+    const std::optional<BucketTable> planned
+        = m_state.targets.planTable(table.table.service, present, m_state.bucketCount(), now);
+    BucketTable next = merge(slot, planned ? &*planned : nullptr, now);
+    const bool isChanged = next.buckets != table.table.buckets || next.limited != table.table.limited;
+    if (isChanged && !next.buckets.empty())
+        publish(slot, std::move(next), now);
+}
+
+void TableDistribution::publish(ServiceSlot slot, BucketTable next, TimePoint now)
+{
+    const BucketTable before = m_state.tables[slot].table;
+    next.version = nextTableVersion(before.version, m_state.self());
+    next.leader = m_state.options.host;
+    schema::PeerMessage message;
+    *message.mutable_table_update() = encodeTable(next, before.version == 0 ? nullptr : &before);
+    for (HostIndex peer = 0; peer < m_state.options.peers.size(); ++peer) {
+        if (peer != m_state.self() && m_state.membership.state(peer) != schema::DEAD
+            && m_state.membership.state(peer) != schema::LEFT)
+            m_state.sender.sendUrgent(peer, message, now);
+    }
+    apply(slot, std::move(next), now);
+}
+
+void TableDistribution::reportBuckets(ServiceSlot slot, TimePoint now)
+{
+    const ServiceTable& table = m_state.tables[slot];
+    if (!table.exists() || !m_state.isActing(now) || m_state.viewChanging)
+        return;
+    schema::PeerMessage message;
+    schema::BucketReport& report = *message.mutable_bucket_report();
+    report.set_service_id(table.table.service);
+    report.set_version(table.table.version);
+    for (std::uint32_t bucket = 0; bucket < m_state.bucketCount(); ++bucket) {
+        if (table.owners[bucket].owner != m_state.self())
+            continue;
+        const Bucket& state = table.table.buckets[bucket];
+        const bool hasDiffering = m_state.cache.pinnedIn(slot, bucket) != 0;
+        if (state.moved && state.base == state.current && table.isActive(bucket) && !hasDiffering)
+            report.add_clear_buckets(bucket);
+        if (!state.moved && hasDiffering)
+            report.add_divergent_buckets(bucket);
+    }
+    if (report.clear_buckets_size() == 0 && report.divergent_buckets_size() == 0)
+        return;
+    const HostIndex leader = m_state.ownership.tableLeader(m_state.membership.readyHosts(), table.table.service);
+    if (leader == m_state.self())
+        handleReport(leader, report);
+    else if (leader != noHost)
+        m_state.sender.trySend(leader, message, now);
+}
+
+void TableDistribution::handleReport(HostIndex, const schema::BucketReport& report)
+{
+    const ServiceSlot slot = m_state.services.findById(report.service_id());
+    ServiceTable* table = m_state.tableOf(slot);
+    if (table == nullptr || table->table.version != report.version())
+        return;
+    for (const std::uint32_t bucket : report.clear_buckets()) {
+        if (bucket < m_state.bucketCount())
+            table->reportedClear[bucket] = true;
+    }
+    for (const std::uint32_t bucket : report.divergent_buckets()) {
+        if (bucket < m_state.bucketCount())
+            table->reportedDivergent[bucket] = true;
+    }
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/steering/view_changes.cpp
@@ -0,0 +1,180 @@
+/// @file
+/// Join, leave and change of owners. docs/design.md, sections 5.11 and 5.17.
+
+#include "steering/steering.h"
+
+namespace bergamotroute {
+
+namespace {
+
+    /// A host that finds no ready host builds the tables itself after this time (section 5.17).
+    constexpr Duration joinPatience { 3'000 };
+    /// A host that lost its place joins again when messages have passed in time for this long.
+    constexpr Duration rejoinLinkTime { 3'000 };
+    /// A leaving host stops when no peer has relayed to it for this long.
+    constexpr Duration leaveQuiet { 1'000 };
+    /// A leaving host stops after this time even if others still relay to it or do not answer.
+    constexpr Duration leaveLimit { 30'000 };
+
+}
+
+void Steering::advance(TimePoint now)
+{
+    if (m_state.membership.hearsMajority(now))
+        m_state.cutOffSince = TimePoint::max();
+    else if (m_state.cutOffSince == TimePoint::max())
+        m_state.cutOffSince = now;
+    watchPeers(now);
+    if (m_state.membership.readyHosts() != m_knownReady)
+        changeView(now);
+    if (m_state.viewChanging)
+        completeView(now);
+    advanceJoin(now);
+    handOverAfterCutOff(now);
+    m_distribution.advance(now);
+    reportLimits(now);
+    m_transfer.advance(now);
+    m_hints.advance(now);
+    advanceLeave(now);
+    m_state.recent.expire(now);
+    sweepCache(now);
+}
+
+void Steering::watchPeers(TimePoint now)
+{
+    for (HostIndex host = 0; host < m_knownStates.size(); ++host) {
+        const schema::MemberState state = m_state.membership.state(host);
+        if (state == m_knownStates[host])
+            continue;
+        m_knownStates[host] = state;
+        const std::string& name = m_state.options.peers[host].host;
+        if (host == m_state.self()) {
+            if (state == schema::JOINING)
+                m_joinStart = now;
+            continue;
+        }
+        if (state == schema::DEAD)
+            m_state.sink.logEvent(ResultCode::HostDead, name);
+        else if (state == schema::LEFT)
+            m_state.sink.logEvent(ResultCode::HostLeft, name);
+        else if (state == schema::MEMBER_READY)
+            m_state.sink.logEvent(ResultCode::HostJoined, name);
+        if (state == schema::JOINING && m_state.isActing(now))
+            m_transfer.startJoin(host);
+        else if (state != schema::MEMBER_READY)
+            m_transfer.stopJoin(host);
+    }
+}
+
+void Steering::changeView(TimePoint)
+{
+    const HostMask before = m_knownReady;
+    m_knownReady = m_state.membership.readyHosts();
+    std::vector<std::vector<BucketOwners>> former;
+    for (ServiceTable& table : m_state.tables) {
+        former.push_back(table.owners);
+        for (std::uint32_t bucket = 0; bucket < table.owners.size(); ++bucket)
+            table.owners[bucket] = m_state.ownership.rank(m_knownReady, table.table.service, bucket);
+    }
+    m_state.viewChanging = true;
+    m_transfer.handleViewChange(former, before);
+    for (HostIndex host = 0; host < m_knownStates.size(); ++host) {
+        // The set of records that a joining host needs depends on the ready hosts.
+        if (m_knownStates[host] == schema::JOINING && host != m_state.self())
+            m_transfer.startJoin(host);
+    }
+}
+
+bool Steering::hasRecordsOfFormerOwners() const
+{
+    HostMask awaited = 0;
+    for (const ServiceTable& table : m_state.tables) {
+        for (std::uint32_t bucket = 0; bucket < table.owners.size(); ++bucket) {
+            const HostIndex former = table.stableOwners[bucket];
+            const bool isAwaited
+                = table.owners[bucket].owner == m_state.self() && former != m_state.self() && m_state.isAlive(former);
+            awaited |= isAwaited ? hostBit(former) : 0;
+        }
+    }
+    for (HostIndex host = 0; host < m_knownStates.size(); ++host) {
+        if ((awaited & hostBit(host)) != 0 && !m_transfer.hasFinished(host, m_knownReady))
+            return false;
+    }
+    return true;
+}
+
+void Steering::completeView(TimePoint now)
+{
+    if (!m_state.isActing(now) || m_state.membership.hostsWithOtherView() != 0 || !hasRecordsOfFormerOwners())
+        return;
+    for (ServiceTable& table : m_state.tables) {
+        for (std::uint32_t bucket = 0; bucket < table.owners.size(); ++bucket)
+            table.stableOwners[bucket] = table.owners[bucket].owner;
+    }
+    m_state.viewChanging = false;
+}
+
+bool Steering::isSynchronized() const
+{
+    if (!m_distribution.isCurrent())
+        return false;
+    for (HostIndex host = 0; host < m_knownStates.size(); ++host) {
+        const bool isReady = host != m_state.self() && m_state.membership.state(host) == schema::MEMBER_READY;
+        if (isReady && !m_transfer.hasSentAny(host))
+            return false;
+    }
+    return true;
+}
+
+void Steering::advanceJoin(TimePoint now)
+{
+    if (m_state.membership.selfState() != schema::JOINING)
+        return;
+    if (m_wasActing) {
+        // The majority has taken this host out; what it was sent before does not count for the new start.
+        m_wasActing = false;
+        m_rejoins = true;
+        m_joinStart = now;
+        for (HostIndex host = 0; host < m_knownStates.size(); ++host)
+            m_transfer.forgetFinished(host);
+    }
+    const bool hasConfiguration = m_state.services.size() > 0;
+    // A host whose messages pass in time only now and then would take and give up its buckets again and again.
+    const TimePoint linkedSince = m_state.membership.linkedSince();
+    const Duration linkTime = m_rejoins ? rejoinLinkTime : Duration(0);
+    const bool isLinked = linkedSince != TimePoint::max() && now - linkedSince >= linkTime;
+    if (!hasConfiguration || !isLinked)
+        return;
+    const bool anyReady = (m_state.membership.readyHosts() & ~hostBit(m_state.self())) != 0;
+    const bool mayStart = anyReady ? isSynchronized() : now - m_joinStart >= joinPatience;
+    if (!mayStart)
+        return;
+    m_state.membership.setSelfState(schema::MEMBER_READY, now);
+    changeView(now);
+    m_distribution.acknowledgeAll(now);
+}
+
+void Steering::handOverAfterCutOff(TimePoint now)
+{
+    const bool isActing = m_state.isActing(now);
+    if (isActing && !m_wasActing)
+        m_transfer.handOverDivergent();
+    m_wasActing = m_wasActing || isActing;
+}
+
+void Steering::advanceLeave(TimePoint now)
+{
+    if (m_state.membership.selfState() != schema::LEAVING) {
+        m_leaveStart = TimePoint::max();
+        return;
+    }
+    if (m_leaveStart == TimePoint::max())
+        m_leaveStart = now;
+    const bool isQuiet = now - m_lastRelayIn >= leaveQuiet && now - m_leaveStart >= leaveQuiet;
+    const bool isHandedOver = m_transfer.isIdle() && m_state.membership.hostsWithOtherView() == 0;
+    const bool isOverdue = now - m_leaveStart >= leaveLimit;
+    if ((isQuiet && isHandedOver) || isOverdue)
+        m_state.membership.setSelfState(schema::LEFT, now);
+}
+
+}
