Run several entry hosts over a message bus with delays and losses

Each scenario sprays packets at random from a fixed seed and asserts that no flow breaks or stalls: drain, add, re-add, two moves, host death, join, leave, duplicated first packet, hosts seconds behind, lost control messages, an address given to another service, UDP, and a cut-off host that rejoins.

--- /dev/null
+++ b/src/libbergamot/entry/entry_host_test.cpp
@@ -0,0 +1,266 @@
+#include "entry/group_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+
+namespace {
+
+constexpr std::size_t hostCount = 5;
+constexpr unsigned flowRate = 100;
+
+/// Starts a group with six targets and opens flows for some seconds.
+void warmUp(GroupFixture& group, unsigned targets = 6)
+{
+    for (unsigned i = 1; i <= targets; ++i)
+        group.addBackend("ordering", "10.1.0." + std::to_string(i));
+    group.run(Duration(8000));
+    REQUIRE(group.countReady() == hostCount);
+    group.run(Duration(4000), flowRate);
+    REQUIRE(group.callers.size() >= 390);
+}
+
+void checkUnbroken(GroupFixture& group)
+{
+    CHECK(group.countBroken() == 0);
+    CHECK(group.countStalled() == 0);
+    CHECK(group.wrongService == 0);
+}
+
+}
+
+// Guards against flows that break because hosts learn of a drain at different times, and against a drained target that
+// still gets new flows 3 s later.
+TEST_CASE("a planned drain breaks no flow")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    GroupFixture::Backend& drained = *group.backends.at("10.1.0.1");
+    CHECK(drained.accepted > 20);
+    const TimePoint start = group.now();
+    group.setState(drained, schema::DRAINING);
+    group.run(Duration(15'000), flowRate);
+    CHECK(drained.lastAccepted < start + Duration(3000));
+    checkUnbroken(group);
+}
+
+// Guards against flows that break when buckets move to a target that has just announced itself.
+TEST_CASE("an added target breaks no flow and gets new ones")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    GroupFixture::Backend& added = group.addBackend("ordering", "10.1.0.9");
+    group.run(Duration(20'000), flowRate);
+    CHECK(added.accepted > 0);
+    checkUnbroken(group);
+}
+
+// Guards against outdated records and cache entries when a target leaves and comes back.
+TEST_CASE("a target that drains and comes back breaks no flow")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    GroupFixture::Backend& target = *group.backends.at("10.1.0.2");
+    group.setState(target, schema::DRAINING);
+    group.run(Duration(6000), flowRate);
+    group.setState(target, schema::READY);
+    const std::size_t before = target.accepted;
+    group.run(Duration(15'000), flowRate);
+    CHECK(target.accepted > before);
+    checkUnbroken(group);
+}
+
+// Guards against a second move that forgets the flows of the first one.
+TEST_CASE("two moves at once break no flow")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+    group.run(Duration(400), flowRate);
+    group.setState(*group.backends.at("10.1.0.2"), schema::DRAINING);
+    group.addBackend("ordering", "10.1.0.9");
+    group.run(Duration(15'000), flowRate);
+    checkUnbroken(group);
+}
+
+// Guards against the loss of records that only a dead host had.
+TEST_CASE("the death of an entry host during a move breaks no flow")
+{
+    for (std::size_t victim = 0; victim < hostCount; ++victim) {
+        GroupFixture group(hostCount, victim + 1);
+        warmUp(group);
+        group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+        group.run(Duration(5000), flowRate);
+        group.killHost(victim);
+        group.run(Duration(15'000), flowRate);
+        CHECK(group.countReady() == hostCount - 1);
+        checkUnbroken(group);
+    }
+}
+
+// Guards against a joining host that decides for buckets before it has their records.
+TEST_CASE("a host that joins during a move breaks no flow")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    group.killHost(3);
+    group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+    group.run(Duration(6000), flowRate);
+    group.startHost(3);
+    group.run(Duration(12'000), flowRate);
+    CHECK(group.countReady() == hostCount);
+    checkUnbroken(group);
+}
+
+// Guards against a leaving host that takes records with it or stops while others still relay to it.
+TEST_CASE("a graceful leave during a move breaks no flow")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+    group.run(Duration(4000), flowRate);
+    group.hosts[2]->leave(group.now());
+    for (int i = 0; i < 100 && !group.hosts[2]->hasLeft(); ++i)
+        group.run(Duration(100), flowRate);
+    REQUIRE(group.hosts[2]->hasLeft());
+    group.sprayed.erase(2);
+    group.run(Duration(100));
+    group.hosts[2].reset();
+    group.run(Duration(10'000), flowRate);
+    CHECK(group.countReady() == hostCount - 1);
+    checkUnbroken(group);
+}
+
+// Guards against hosts that act on tables that are seconds old.
+TEST_CASE("hosts that are seconds behind break no flow")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    group.hostDelay[1] = Duration(3000);
+    group.hostDelay[4] = Duration(1200);
+    group.run(Duration(4000), flowRate);
+    group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+    group.run(Duration(10'000), flowRate);
+    group.setState(*group.backends.at("10.1.0.1"), schema::READY);
+    group.run(Duration(15'000), flowRate);
+    checkUnbroken(group);
+}
+
+// Guards against protocols that rely on each control message.
+TEST_CASE("lost and delayed control messages break no flow")
+{
+    GroupFixture group(hostCount, 7);
+    warmUp(group);
+    group.faults = { Duration(1), Duration(300), 20 };
+    group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+    group.run(Duration(5000), flowRate);
+    group.addBackend("ordering", "10.1.0.9");
+    group.run(Duration(10'000), flowRate);
+    group.setState(*group.backends.at("10.1.0.1"), schema::READY);
+    group.run(Duration(15'000), flowRate);
+    checkUnbroken(group);
+}
+
+// Guards against copies of one first packet that reach different targets through hosts with different tables.
+TEST_CASE("a duplicated first packet reaches one target while tables differ")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    // Host 0 learns of the drain 600 ms later than the others.
+    group.hostDelay[0] = Duration(600);
+    group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+    for (int i = 0; i < 200; ++i) {
+        GroupFixture::Caller& caller = group.openFlow("10.9.0.1", TransportProtocol::Tcp);
+        const auto first = buildTcpPacket(caller.flow, { .flags = TcpSyn, .sequence = 1 });
+        group.deliver(0, first);
+        group.after(Duration(5 * i), [&group, first] { group.deliver(3, first); });
+        caller.nextPacket = group.now() + Duration(1000);
+        group.run(Duration(10));
+    }
+    group.run(Duration(8000));
+    std::size_t twice = 0;
+    for (const auto& caller : group.callers) {
+        std::size_t holders = 0;
+        for (const auto& [address, backend] : group.backends)
+            holders += backend->flows.contains(caller->flow) ? 1 : 0;
+        twice += holders > 1 ? 1 : 0;
+    }
+    CHECK(twice == 0);
+    checkUnbroken(group);
+}
+
+// Guards against cache entries of the former service of an address.
+TEST_CASE("an address given to another service reaches the targets of that service only")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    group.addService("manifests", "10.9.0.2", schema::TCP);
+    group.configureAll();
+    group.addBackend("manifests", "10.2.0.1");
+    group.run(Duration(6000), flowRate);
+    for (auto& caller : group.callers)
+        caller->closed = true;
+    group.configuration.mutable_services(0)->set_address("10.9.0.3");
+    group.configuration.mutable_services(1)->set_address("10.9.0.1");
+    group.configureAll();
+    group.run(Duration(100));
+    group.wrongService = 0;
+    const std::size_t before = group.backends.at("10.2.0.1")->accepted;
+    group.run(Duration(4000), flowRate);
+    for (auto& caller : group.callers)
+        group.spray(buildTcpPacket(caller->flow, { .flags = TcpAck, .sequence = 2 }));
+    group.run(Duration(1000));
+    CHECK(group.backends.at("10.2.0.1")->accepted > before + 300);
+    CHECK(group.wrongService == 0);
+}
+
+// Guards against UDP flows that change their target when a bucket moves.
+TEST_CASE("a drain breaks no UDP flow")
+{
+    GroupFixture group(hostCount);
+    group.addService("feeds", "10.9.0.5", schema::UDP);
+    group.configureAll();
+    for (unsigned i = 1; i <= 4; ++i)
+        group.addBackend("feeds", "10.3.0." + std::to_string(i));
+    warmUp(group);
+    for (int i = 0; i < 400; ++i) {
+        group.openFlow("10.9.0.5", TransportProtocol::Udp);
+        group.run(Duration(10));
+    }
+    group.setState(*group.backends.at("10.3.0.1"), schema::DRAINING);
+    for (int i = 0; i < 400; ++i) {
+        group.openFlow("10.9.0.5", TransportProtocol::Udp);
+        group.run(Duration(10));
+    }
+    group.run(Duration(10'000));
+    checkUnbroken(group);
+}
+
+// Guards against a cut-off data centre that serves nothing, and against flows that are lost when it comes back.
+TEST_CASE("a cut-off host serves its own data centre and joins again")
+{
+    GroupFixture group(hostCount);
+    warmUp(group);
+    group.partition[2] = 1;
+    group.sprayed.erase(2);
+    group.run(Duration(7000), flowRate);
+    CHECK(group.countReady() == hostCount - 1);
+    std::vector<GroupFixture::Caller*> local;
+    for (int i = 0; i < 20; ++i) {
+        local.push_back(&group.openFlow("10.9.0.1", TransportProtocol::Tcp));
+        local.back()->onlyHost = 2;
+    }
+    group.run(Duration(2000), flowRate);
+    for (const GroupFixture::Caller* caller : local) {
+        REQUIRE(caller->backend != nullptr);
+        CHECK(caller->backend->dataCentre == GroupFixture::dataCentreOf(2));
+    }
+    group.partition[2] = 0;
+    group.run(Duration(10'000), flowRate);
+    CHECK(group.countReady() == hostCount);
+    group.sprayed.insert(2);
+    for (GroupFixture::Caller* caller : local)
+        caller->onlyHost = -1;
+    group.run(Duration(8000), flowRate);
+    checkUnbroken(group);
+}
