--- a/src/bergamotctl/command_table.cpp
+++ b/src/bergamotctl/command_table.cpp
@@ -23,9 +23,9 @@
         { "service", "move", "NAME", "Give a service another address or other data centres.", "address data-centres",
             "service move ordering --address 10.9.0.2", runServiceMove },
         { "service", "remove", "NAME", "Remove a service.", "", "service remove ordering", runServiceRemove },
-        { "service", "list", "", "List services.", "", "service list --format json", runServiceList },
+        { "service", "list", "", "List services.", "", "service list --format json", runServiceList, false },
         { "backend", "list", "[SERVICE]", "List backend servers with state, share and connections.", "",
-            "backend list ordering", runBackendList },
+            "backend list ordering", runBackendList, false },
         { "backend", "drain", "SERVICE ADDRESS", "Send no new flows to a backend server.", "",
             "backend drain ordering 10.1.0.7 --wait", runBackendDrain },
         { "backend", "ready", "SERVICE ADDRESS", "End drain, maintenance or removal.", "",
@@ -36,9 +36,42 @@
             "backend maintenance ordering 10.1.0.7", runBackendMaintenance },
         { "backend", "remove", "SERVICE ADDRESS", "Refuse a backend server until it is made ready again.", "",
             "backend remove ordering 10.1.0.7", runBackendRemove },
-        { "status", "", "", "Show control hosts, entry hosts and services.", "", "status", runStatus },
+        { "datacentre", "stop", "NAME", "Send no new flows to a data centre.", "", "datacentre stop east --wait",
+            runDataCentreStop },
+        { "datacentre", "start", "NAME", "End the stop of a data centre.", "", "datacentre start east",
+            runDataCentreStart },
+        { "host", "list", "", "List entry hosts.", "", "host list", runHostList, false },
+        { "host", "drain", "HOST", "Let an entry host own nothing while it goes on forwarding.", "", "host drain e1",
+            runHostDrain },
+        { "host", "ready", "HOST", "End the drain of an entry host.", "", "host ready e1", runHostReady },
+        { "host", "leave", "HOST", "Let an entry host hand over and leave.", "", "host leave e1 --wait", runHostLeave },
+        { "control", "status", "", "List control hosts and members of the quorum.", "", "control status",
+            runControlStatus, false },
+        { "control", "add", "HOST RPC_ENDPOINT", "Add a control host as learner.", "identity",
+            "control add c4 10.0.0.4:7400", runControlAdd },
+        { "control", "promote", "HOST|IDENTITY", "Let a learner vote.", "", "control promote c4", runControlPromote },
+        { "control", "remove", "HOST|IDENTITY", "Remove a control host from the quorum.", "", "control remove c1",
+            runControlRemove },
+        { "control", "replace", "OLD NEW RPC_ENDPOINT", "Add NEW, let it catch up and vote, then remove OLD.",
+            "identity", "control replace c1 c4 10.0.0.4:7400", runControlReplace },
+        { "status", "", "", "Show control hosts and entry hosts.", "", "status", runStatus, false },
+        { "dump", "", "HOST", "Print the state of an entry host or control host as JSON.", "", "dump e1", runDump,
+            false },
+        { "history", "", "", "List accepted changes since the last snapshot.", "since", "history --since 120",
+            runHistory, false },
+        { "watch", "", "", "Print each new revision.", "since count", "watch --count 1", runWatch, false },
+        { "check", "", "", "Report what is wrong with the deployment.", "", "check", runCheck, false },
+        { "manifest", "diff", "FILE", "Show the changes that lead to a manifest.", "", "manifest diff manifest.json",
+            runManifestDiff, false },
+        { "manifest", "apply", "FILE", "Bring a manifest into force as one change.", "",
+            "manifest apply manifest.json --wait", runManifestApply },
+        { "runbook", "run", "FILE", "Run or resume a runbook; progress is kept in FILE.progress.", "restart",
+            "runbook run move.json --dry-run", runRunbookRun, false },
         { "request", "show", "ID", "Show the answer to an earlier command.", "", "request show req-5f1c",
-            runRequestShow },
+            runRequestShow, false },
+        { "settings-page", "", "", "Print docs/SETTINGS.md.", "", "settings-page", runSettingsPage, false },
+        { "result-codes-page", "", "", "Print docs/RESULT_CODES.md.", "", "result-codes-page", runResultCodesPage,
+            false },
     });
 
     constexpr std::string_view commonFlags = "settings control entry token-file format request-id expect-revision wait "
@@ -82,7 +115,7 @@
         }
     }
 
-    const CommandInfo* findCommand(std::span<const std::string> words)
+    const CommandInfo* findByName(std::span<const std::string> words)
     {
         for (const CommandInfo& command : commands) {
             const bool isNoun = !words.empty() && words[0] == command.noun;
@@ -92,10 +125,26 @@
         return nullptr;
     }
 
+    Arguments argumentsOf(const CommandInfo& command, std::span<const std::string> words)
+    {
+        return words.subspan(command.verb.empty() ? 1 : 2);
+    }
+
+    bool hasRightCount(const CommandInfo& command, Arguments arguments)
+    {
+        return arguments.size() >= countRequired(command.arguments) && arguments.size() <= countAll(command.arguments);
+    }
+
 }
 
 std::span<const CommandInfo> commandTable() { return commands; }
 
+const CommandInfo* findCommand(std::span<const std::string> words)
+{
+    const CommandInfo* command = findByName(words);
+    return command != nullptr && hasRightCount(*command, argumentsOf(*command, words)) ? command : nullptr;
+}
+
 void printHelp(std::ostream& out)
 {
     out << "usage: bergamotctl COMMAND [ARGUMENTS] [FLAGS]\n";
@@ -128,7 +177,7 @@
 
 ExitStatus runWords(Session& session, std::span<const std::string> words, bool isHelp)
 {
-    const CommandInfo* command = findCommand(words);
+    const CommandInfo* command = findByName(words);
     if (command == nullptr && isHelp) {
         printHelp(session.out());
         return ExitStatus::Done;
@@ -142,8 +191,8 @@
         printHelp(session.out(), *command);
         return ExitStatus::Done;
     }
-    const Arguments arguments = words.subspan(command->verb.empty() ? 1 : 2);
-    if (arguments.size() < countRequired(command->arguments) || arguments.size() > countAll(command->arguments)) {
+    const Arguments arguments = argumentsOf(*command, words);
+    if (!hasRightCount(*command, arguments)) {
         session.err() << "usage: bergamotctl " << fullName(*command) << ' ' << command->arguments << '\n';
         return ExitStatus::Usage;
     }
--- a/src/bergamotctl/flags.cpp
+++ b/src/bergamotctl/flags.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <gflags/gflags.h>
+#include <set>
 
 DEFINE_string(settings, "", "Settings file (JSON with comments); default $BERGAMOTCTL_SETTINGS.");
 DEFINE_string(control, "", "Control hosts as [name=]address:port,... instead of those of the settings file.");
@@ -35,6 +36,16 @@
 
 namespace {
 
+    /// Flags that say how to reach the deployment and how to print; steps of a runbook inherit them.
+    const std::set<std::string> inheritedFlags
+        = { "settings", "control", "entry", "token_file", "format", "operator_name" };
+
+    std::set<std::string>& givenFlags()
+    {
+        static std::set<std::string> names;
+        return names;
+    }
+
     std::string underscored(std::string_view text)
     {
         std::string name(text);
@@ -69,6 +80,7 @@
             fault = "'" + value + "' is not a value of flag --" + std::string(text.substr(0, equals));
             return 0;
         }
+        givenFlags().insert(name);
         return used;
     }
 
@@ -134,6 +146,17 @@
     return parts;
 }
 
-bool isFlagGiven(const char* name) { return !gflags::GetCommandLineFlagInfoOrDie(name).is_default; }
+bool isFlagGiven(const char* name) { return givenFlags().contains(name); }
+
+void resetStepFlags()
+{
+    std::erase_if(givenFlags(), [](const std::string& name) {
+        if (inheritedFlags.contains(name))
+            return false;
+        const gflags::CommandLineFlagInfo info = gflags::GetCommandLineFlagInfoOrDie(name.c_str());
+        gflags::SetCommandLineOption(name.c_str(), info.default_value.c_str());
+        return true;
+    });
+}
 
 }
--- a/src/bergamotctl/flags.h
+++ b/src/bergamotctl/flags.h
@@ -63,4 +63,7 @@
 /// @return true if the flag was given on the command line.
 bool isFlagGiven(const char* name);
 
+/// Gives the flags of the command line their defaults, but for those that a runbook's steps inherit.
+void resetStepFlags();
+
 }
--- a/src/bergamotctl/session.h
+++ b/src/bergamotctl/session.h
@@ -74,6 +74,12 @@
     /// Asks all control hosts for the answer to an earlier command. Prints the result.
     ExitStatus showRequest(const std::string& requestId);
 
+    /// @return the definite answer to an earlier command, if a control host remembers it.
+    std::optional<schema::CommandResult> findRequest(const std::string& requestId);
+
+    /// Prints an answer and, with --wait, waits for an accepted one.
+    ExitStatus printResult(const schema::CommandResult& result);
+
     /// Sends a GET to the control hosts in turn until one answers with 200.
     /// @param[out] fault set to the last fault otherwise.
     std::optional<HttpAnswer> askControl(
@@ -107,7 +113,6 @@
     bool tryCommand(const std::string& endpoint, const std::string& body, Attempt& attempt);
     ExitStatus finishCommand(const Attempt& attempt, const std::string& requestId);
     void reportUnknown(const std::string& requestId);
-    ExitStatus printResult(const schema::CommandResult& result);
 
     std::ostream& m_out;
     std::ostream& m_err;
--- a/src/bergamotctl/session_commands.cpp
+++ b/src/bergamotctl/session_commands.cpp
@@ -147,17 +147,25 @@
     return FLAGS_wait ? waitInForce(result.revision()) : ExitStatus::Done;
 }
 
-ExitStatus Session::showRequest(const std::string& requestId)
+std::optional<schema::CommandResult> Session::findRequest(const std::string& requestId)
 {
-    bool isAnswered = false;
+    m_lastFailure = ExitStatus::NotReachable;
     for (const schema::OperatorEndpoint& host : m_settings.control_hosts()) {
         const HttpAnswer answer = sendTo(host.endpoint(), "/v1/request?id=" + requestId);
         schema::CommandResult result;
         if (answer.status == 200 && readJson(answer.body, result) && result.outcome() != schema::OUTCOME_UNKNOWN)
-            return printResult(result);
-        isAnswered |= answer.status == 404 || answer.status == 200;
+            return result;
+        if (answer.status == 404 || answer.status == 200)
+            m_lastFailure = ExitStatus::Unknown;
     }
-    if (!isAnswered) {
+    return std::nullopt;
+}
+
+ExitStatus Session::showRequest(const std::string& requestId)
+{
+    if (const auto result = findRequest(requestId))
+        return printResult(*result);
+    if (m_lastFailure == ExitStatus::NotReachable) {
         m_err << "no control host can be reached\n";
         return ExitStatus::NotReachable;
     }
--- a/src/bergamotctl/status_commands.cpp
+++ b/src/bergamotctl/status_commands.cpp
@@ -2,7 +2,6 @@
 
 #include "bergamotctl/commands.h"
 #include "bergamotctl/table.h"
-#include "libbergamotio/json_schema.h"
 
 #include <iostream>
 #include <json/json.h>
@@ -13,21 +12,6 @@
 
     std::string yesNo(bool value) { return value ? "yes" : "no"; }
 
-    void printControl(Session& session, const std::vector<ControlAnswer>& answers)
-    {
-        Table table({ "CONTROL HOST", "ROLE", "TERM", "COMMITTED", "LEASE", "STORAGE" });
-        for (const ControlAnswer& answer : answers) {
-            if (!answer.isReachable) {
-                table.add({ answer.host, "not reachable", "-", "-", "-", "-" });
-                continue;
-            }
-            const schema::ControlHostState& state = answer.state;
-            table.add({ state.host(), state.role(), std::to_string(state.term()), std::to_string(state.commit_index()),
-                state.lease_valid() ? "valid" : "-", state.storage_failed() ? "failed" : "ok" });
-        }
-        table.print(session.out());
-    }
-
     void printEntry(Session& session, const std::vector<EntryAnswer>& answers)
     {
         Table table({ "ENTRY HOST", "DATA CENTRE", "STATE", "QUORUM", "REVISION", "FLOWS", "PINNED" });
@@ -37,27 +21,28 @@
                 continue;
             }
             const schema::EntryHostState& state = answer.state;
-            table.add({ state.host(), state.data_centre(), schema::MemberState_Name(state.member_state()),
-                yesNo(state.has_quorum()), std::to_string(state.configuration_revision()),
-                std::to_string(state.cached_flows()), std::to_string(state.pinned_flows()) });
+            table.add({ state.host(), state.data_centre(), memberText(state.member_state()), yesNo(state.has_quorum()),
+                std::to_string(state.configuration_revision()), std::to_string(state.cached_flows()),
+                std::to_string(state.pinned_flows()) });
         }
         table.print(session.out());
     }
 
-    template <typename Answer> Json::Value toJsonList(const std::vector<Answer>& answers)
-    {
-        Json::Value list(Json::arrayValue);
-        for (const Answer& answer : answers) {
-            Json::Value entry;
-            if (answer.isReachable)
-                Json::Reader().parse(toJson(answer.state, false), entry);
-            entry["host"] = answer.host;
-            entry["reachable"] = answer.isReachable;
-            list.append(entry);
+}
+
+void printControlHosts(Session& session, const std::vector<ControlAnswer>& answers)
+{
+    Table table({ "CONTROL HOST", "ROLE", "TERM", "COMMITTED", "LEASE", "STORAGE" });
+    for (const ControlAnswer& answer : answers) {
+        if (!answer.isReachable) {
+            table.add({ answer.host, "not reachable", "-", "-", "-", "-" });
+            continue;
         }
-        return list;
+        const schema::ControlHostState& state = answer.state;
+        table.add({ state.host(), state.role(), std::to_string(state.term()), std::to_string(state.commit_index()),
+            state.lease_valid() ? "valid" : "-", state.storage_failed() ? "failed" : "ok" });
     }
-
+    table.print(session.out());
 }
 
 ExitStatus runStatus(Session& session, Arguments)
@@ -70,7 +55,7 @@
         root["entry_hosts"] = toJsonList(entry);
         session.out() << root.toStyledString();
     } else {
-        printControl(session, control);
+        printControlHosts(session, control);
         session.out() << '\n';
         printEntry(session, entry);
     }
--- a/src/bergamotctl/submit.cpp
+++ b/src/bergamotctl/submit.cpp
@@ -2,6 +2,8 @@
 
 #include "bergamotctl/commands.h"
 #include "bergamotctl/flags.h"
+#include "bergamotroute/manifest_diff.h"
+#include "bergamotroute/safety_check.h"
 #include "libbergamotio/json_schema.h"
 
 #include <cstdlib>
@@ -39,19 +41,55 @@
         return FLAGS_wait ? session.waitInForce(revision) : ExitStatus::Done;
     }
 
+    DeploymentView readView(Session& session, const schema::Configuration& configuration)
+    {
+        DeploymentView view;
+        view.configuration = configuration;
+        for (const EntryAnswer& answer : session.readEntryStates()) {
+            if (!answer.isReachable)
+                continue;
+            view.entryHosts.push_back(answer.state);
+            view.targets.insert(view.targets.end(), answer.state.targets().begin(), answer.state.targets().end());
+        }
+        for (const ControlAnswer& answer : session.readControlStates()) {
+            if (answer.isReachable)
+                view.reachableControlIdentities.push_back(answer.state.identity());
+        }
+        return view;
+    }
+
+    ExitStatus printDryRun(Session& session, const schema::Command& command)
+    {
+        if (session.isJson()) {
+            session.out() << toJson(command, true);
+            return ExitStatus::Done;
+        }
+        for (const schema::Change& change : command.changes())
+            session.out() << "would " << describeChange(change) << '\n';
+        return ExitStatus::Done;
+    }
+
+    ExitStatus reportUnsafe(Session& session, const SafetyFault& fault)
+    {
+        session.err() << "refused: " << fault.code.value() << ' '
+                      << resultName(static_cast<std::uint32_t>(fault.code.value())) << ": " << fault.reason << '\n';
+        return ExitStatus::Failed;
+    }
+
 }
 
-ExitStatus submitChanges(
-    Session& session, const schema::Configuration& configuration, std::vector<schema::Change> changes)
+ExitStatus submitChanges(Session& session, const schema::Configuration& configuration,
+    std::vector<schema::Change> changes, const std::string& requestId)
 {
     if (changes.empty())
         return reportInForce(session, configuration.revision());
-    const schema::Command command = makeCommand(configuration, std::move(changes));
-    if (FLAGS_dry_run) {
-        session.out() << toJson(command, true);
-        return ExitStatus::Done;
+    if (!FLAGS_force) {
+        if (const SafetyFault fault = checkSafety(changes, readView(session, configuration)))
+            return reportUnsafe(session, fault);
     }
-    return session.sendCommand(command);
+    schema::Command command = makeCommand(configuration, std::move(changes));
+    command.set_request_id(requestId);
+    return FLAGS_dry_run ? printDryRun(session, command) : session.sendCommand(command);
 }
 
 }
--- a/src/standins/fakecontrol/main.cpp
+++ b/src/standins/fakecontrol/main.cpp
@@ -164,6 +164,7 @@
                 entry.set_identity(member.identity());
                 entry.set_host(member.host());
                 entry.set_voter(member.voter());
+                entry.set_match_index(state.commit_index());
             }
             return toJson(state, false);
         }
