--- a/src/bergamotctl/command_table.cpp
+++ b/src/bergamotctl/command_table.cpp
@@ -72,6 +72,9 @@
         { "settings-page", "", "", "Print docs/SETTINGS.md.", "", "settings-page", runSettingsPage, false },
         { "result-codes-page", "", "", "Print docs/RESULT_CODES.md.", "", "result-codes-page", runResultCodesPage,
             false },
+        { "completion-script", "", "", "Print packaging/bergamotctl.bash.", "", "completion-script",
+            runCompletionScript, false },
+        { "command-names", "", "", "Print the names of all commands.", "", "command-names", runCommandNames, false },
     });
 
     constexpr std::string_view commonFlags = "settings control entry token-file format request-id expect-revision wait "
@@ -95,14 +98,6 @@
         return count;
     }
 
-    std::string fullName(const CommandInfo& command)
-    {
-        std::string name(command.noun);
-        if (!command.verb.empty())
-            name += ' ' + std::string(command.verb);
-        return name;
-    }
-
     void printFlags(std::ostream& out, std::string_view flags)
     {
         std::istringstream words { std::string(flags) };
@@ -145,18 +140,43 @@
     return command != nullptr && hasRightCount(*command, argumentsOf(*command, words)) ? command : nullptr;
 }
 
+std::string commandName(const CommandInfo& command)
+{
+    std::string name(command.noun);
+    if (!command.verb.empty())
+        name += ' ' + std::string(command.verb);
+    return name;
+}
+
+std::vector<std::string> flagNames(const CommandInfo& command)
+{
+    std::vector<std::string> names;
+    for (const std::string_view flags : { command.flags, commonFlags }) {
+        std::istringstream words { std::string(flags) };
+        for (std::string word; words >> word;)
+            names.push_back("--" + word);
+    }
+    return names;
+}
+
 void printHelp(std::ostream& out)
 {
     out << "usage: bergamotctl COMMAND [ARGUMENTS] [FLAGS]\n";
     std::string_view noun;
+    std::string oneWord;
     for (const CommandInfo& command : commands) {
-        if (command.noun != noun)
-            out << (noun.empty() ? "" : "\n") << "  " << command.noun;
-        if (!command.verb.empty())
-            out << (command.noun == noun ? "|" : " ") << command.verb;
+        if (command.verb.empty()) {
+            oneWord += ' ' + std::string(command.noun);
+            continue;
+        }
+        if (command.noun == noun)
+            out << '|' << command.verb;
+        else
+            out << (noun.empty() ? "  " : "\n  ") << command.noun << ' ' << command.verb;
         noun = command.noun;
     }
-    out << "\n\nbergamotctl COMMAND --help shows flags and an example. --format json prints JSON.\n"
+    out << "\n " << oneWord << "\n\n"
+        << "bergamotctl COMMAND --help shows flags and an example. --format json prints JSON.\n"
         << "exit status: 0 done, 1 not accepted or failed, 2 usage or input error, 3 outcome unknown, 4 not "
            "reachable,\n"
         << "5 wait timed out\n"
@@ -165,7 +185,7 @@
 
 void printHelp(std::ostream& out, const CommandInfo& command)
 {
-    out << "usage: bergamotctl " << fullName(command) << (command.arguments.empty() ? "" : " ") << command.arguments
+    out << "usage: bergamotctl " << commandName(command) << (command.arguments.empty() ? "" : " ") << command.arguments
         << " [FLAGS]\n"
         << command.summary << "\n\n";
     printFlags(out, command.flags);
@@ -193,7 +213,7 @@
     }
     const Arguments arguments = argumentsOf(*command, words);
     if (!hasRightCount(*command, arguments)) {
-        session.err() << "usage: bergamotctl " << fullName(*command) << ' ' << command->arguments << '\n';
+        session.err() << "usage: bergamotctl " << commandName(*command) << ' ' << command->arguments << '\n';
         return ExitStatus::Usage;
     }
     return session.open() ? command->run(session, arguments) : ExitStatus::Usage;
--- a/src/bergamotctl/commands.h
+++ b/src/bergamotctl/commands.h
@@ -46,6 +46,12 @@
 /// @return the command of a command line; null if there is none or it has too few or too many arguments.
 const CommandInfo* findCommand(std::span<const std::string> words);
 
+/// @return "service add".
+std::string commandName(const CommandInfo& command);
+
+/// @return all flags of a command with their dashes.
+std::vector<std::string> flagNames(const CommandInfo& command);
+
 /// Prints the help page, or the help of one command.
 void printHelp(std::ostream& out);
 void printHelp(std::ostream& out, const CommandInfo& command);
@@ -109,6 +115,8 @@
 ExitStatus runRunbookRun(Session& session, Arguments arguments);
 ExitStatus runSettingsPage(Session& session, Arguments arguments);
 ExitStatus runResultCodesPage(Session& session, Arguments arguments);
+ExitStatus runCompletionScript(Session& session, Arguments arguments);
+ExitStatus runCommandNames(Session& session, Arguments arguments);
 ExitStatus runRequestShow(Session& session, Arguments arguments);
 
 }
--- a/src/bergamotctl/runbook_commands.cpp
+++ b/src/bergamotctl/runbook_commands.cpp
@@ -144,7 +144,7 @@
 
 ExitStatus runRunbookRun(Session& session, Arguments arguments)
 {
-    const std::string path = arguments[0];
+    const std::string& path = arguments[0];
     const std::string progressPath = path + ".progress";
     const bool isDry = FLAGS_dry_run;
     const bool isRestart = FLAGS_restart;
--- a/src/bergamotctl/session.cpp
+++ b/src/bergamotctl/session.cpp
@@ -174,6 +174,8 @@
 
 std::optional<ConfigurationAnswer> Session::readConfiguration(bool allowStale)
 {
+    if (m_simulated)
+        return ConfigurationAnswer { *m_simulated, true };
     std::string fault;
     std::optional<HttpAnswer> answer;
     do {
--- a/src/bergamotctl/session.h
+++ b/src/bergamotctl/session.h
@@ -68,6 +68,9 @@
     /// @param allowStale accept the answer of a control host without a valid lease, with a warning.
     std::optional<ConfigurationAnswer> readConfiguration(bool allowStale);
 
+    /// Makes readConfiguration() return this one, so that the steps of a dry run build on each other.
+    void simulate(const schema::Configuration& configuration) { m_simulated = configuration; }
+
     /// Sends a command until a control host gives a definite answer or the deadline passes. Prints the result.
     ExitStatus sendCommand(schema::Command command);
 
@@ -120,6 +123,7 @@
     std::string m_token;
     HttpClient m_client;
     std::chrono::steady_clock::time_point m_deadline;
+    std::optional<schema::Configuration> m_simulated;
     ExitStatus m_lastFailure = ExitStatus::NotReachable;
 };
 
--- a/src/bergamotctl/submit.cpp
+++ b/src/bergamotctl/submit.cpp
@@ -89,7 +89,13 @@
     }
     schema::Command command = makeCommand(configuration, std::move(changes));
     command.set_request_id(requestId);
-    return FLAGS_dry_run ? printDryRun(session, command) : session.sendCommand(command);
+    if (!FLAGS_dry_run)
+        return session.sendCommand(command);
+    schema::Configuration next = configuration;
+    for (const schema::Change& change : command.changes())
+        applyToConfiguration(change, next);
+    session.simulate(next);
+    return printDryRun(session, command);
 }
 
 }
--- a/src/libbergamot/runbook/manifest_diff_test.cpp
+++ b/src/libbergamot/runbook/manifest_diff_test.cpp
@@ -19,6 +19,7 @@
 std::vector<std::string> describe(const std::vector<schema::Change>& changes)
 {
     std::vector<std::string> lines;
+    lines.reserve(changes.size());
     for (const schema::Change& change : changes)
         lines.push_back(describeChange(change));
     return lines;
