--- a/src/bergamotctl/command_table.cpp
+++ b/src/bergamotctl/command_table.cpp
@@ -23,9 +23,9 @@
         { "service", "move", "NAME", "Give a service another address or other data centres.", "address data-centres",
             "service move ordering --address 10.9.0.2", runServiceMove },
         { "service", "remove", "NAME", "Remove a service.", "", "service remove ordering", runServiceRemove },
-        { "service", "list", "", "List services.", "", "service list --format json", runServiceList },
+        { "service", "list", "", "List services.", "", "service list --format json", runServiceList, false },
         { "backend", "list", "[SERVICE]", "List backend servers with state, share and connections.", "",
-            "backend list ordering", runBackendList },
+            "backend list ordering", runBackendList, false },
         { "backend", "drain", "SERVICE ADDRESS", "Send no new flows to a backend server.", "",
             "backend drain ordering 10.1.0.7 --wait", runBackendDrain },
         { "backend", "ready", "SERVICE ADDRESS", "End drain, maintenance or removal.", "",
@@ -36,9 +36,45 @@
             "backend maintenance ordering 10.1.0.7", runBackendMaintenance },
         { "backend", "remove", "SERVICE ADDRESS", "Refuse a backend server until it is made ready again.", "",
             "backend remove ordering 10.1.0.7", runBackendRemove },
-        { "status", "", "", "Show control hosts, entry hosts and services.", "", "status", runStatus },
+        { "datacentre", "stop", "NAME", "Send no new flows to a data centre.", "", "datacentre stop east --wait",
+            runDataCentreStop },
+        { "datacentre", "start", "NAME", "End the stop of a data centre.", "", "datacentre start east",
+            runDataCentreStart },
+        { "host", "list", "", "List entry hosts.", "", "host list", runHostList, false },
+        { "host", "drain", "HOST", "Let an entry host own nothing while it goes on forwarding.", "", "host drain e1",
+            runHostDrain },
+        { "host", "ready", "HOST", "End the drain of an entry host.", "", "host ready e1", runHostReady },
+        { "host", "leave", "HOST", "Let an entry host hand over and leave.", "", "host leave e1 --wait", runHostLeave },
+        { "control", "status", "", "List control hosts and members of the quorum.", "", "control status",
+            runControlStatus, false },
+        { "control", "add", "HOST RPC_ENDPOINT", "Add a control host as learner.", "identity",
+            "control add c4 10.0.0.4:7400", runControlAdd },
+        { "control", "promote", "HOST|IDENTITY", "Let a learner vote.", "", "control promote c4", runControlPromote },
+        { "control", "remove", "HOST|IDENTITY", "Remove a control host from the quorum.", "", "control remove c1",
+            runControlRemove },
+        { "control", "replace", "OLD NEW RPC_ENDPOINT", "Add NEW, let it catch up and vote, then remove OLD.",
+            "identity", "control replace c1 c4 10.0.0.4:7400", runControlReplace },
+        { "status", "", "", "Show control hosts and entry hosts.", "", "status", runStatus, false },
+        { "dump", "", "HOST", "Print the state of an entry host or control host as JSON.", "", "dump e1", runDump,
+            false },
+        { "history", "", "", "List accepted changes since the last snapshot.", "since", "history --since 120",
+            runHistory, false },
+        { "watch", "", "", "Print each new revision.", "since count", "watch --count 1", runWatch, false },
+        { "check", "", "", "Report what is wrong with the deployment.", "", "check", runCheck, false },
+        { "manifest", "diff", "FILE", "Show the changes that lead to a manifest.", "", "manifest diff manifest.json",
+            runManifestDiff, false },
+        { "manifest", "apply", "FILE", "Bring a manifest into force as one change.", "",
+            "manifest apply manifest.json --wait", runManifestApply },
+        { "runbook", "run", "FILE", "Run or resume a runbook; progress is kept in FILE.progress.", "restart",
+            "runbook run move.json --dry-run", runRunbookRun, false },
         { "request", "show", "ID", "Show the answer to an earlier command.", "", "request show req-5f1c",
-            runRequestShow },
+            runRequestShow, false },
+        { "settings-page", "", "", "Print docs/SETTINGS.md.", "", "settings-page", runSettingsPage, false },
+        { "result-codes-page", "", "", "Print docs/RESULT_CODES.md.", "", "result-codes-page", runResultCodesPage,
+            false },
+        { "completion-script", "", "", "Print packaging/bergamotctl.bash.", "", "completion-script",
+            runCompletionScript, false },
+        { "command-names", "", "", "Print the names of all commands.", "", "command-names", runCommandNames, false },
     });
 
     constexpr std::string_view commonFlags = "settings control entry token-file format request-id expect-revision wait "
@@ -62,14 +98,6 @@
         return count;
     }
 
-    std::string fullName(const CommandInfo& command)
-    {
-        std::string name(command.noun);
-        if (!command.verb.empty())
-            name += ' ' + std::string(command.verb);
-        return name;
-    }
-
     void printFlags(std::ostream& out, std::string_view flags)
     {
         std::istringstream words { std::string(flags) };
@@ -82,7 +110,7 @@
         }
     }
 
-    const CommandInfo* findCommand(std::span<const std::string> words)
+    const CommandInfo* findByName(std::span<const std::string> words)
     {
         for (const CommandInfo& command : commands) {
             const bool isNoun = !words.empty() && words[0] == command.noun;
@@ -92,22 +120,63 @@
         return nullptr;
     }
 
+    Arguments argumentsOf(const CommandInfo& command, std::span<const std::string> words)
+    {
+        return words.subspan(command.verb.empty() ? 1 : 2);
+    }
+
+    bool hasRightCount(const CommandInfo& command, Arguments arguments)
+    {
+        return arguments.size() >= countRequired(command.arguments) && arguments.size() <= countAll(command.arguments);
+    }
+
 }
 
 std::span<const CommandInfo> commandTable() { return commands; }
 
+const CommandInfo* findCommand(std::span<const std::string> words)
+{
+    const CommandInfo* command = findByName(words);
+    return command != nullptr && hasRightCount(*command, argumentsOf(*command, words)) ? command : nullptr;
+}
+
+std::string commandName(const CommandInfo& command)
+{
+    std::string name(command.noun);
+    if (!command.verb.empty())
+        name += ' ' + std::string(command.verb);
+    return name;
+}
+
+std::vector<std::string> flagNames(const CommandInfo& command)
+{
+    std::vector<std::string> names;
+    for (const std::string_view flags : { command.flags, commonFlags }) {
+        std::istringstream words { std::string(flags) };
+        for (std::string word; words >> word;)
+            names.push_back("--" + word);
+    }
+    return names;
+}
+
 void printHelp(std::ostream& out)
 {
     out << "usage: bergamotctl COMMAND [ARGUMENTS] [FLAGS]\n";
     std::string_view noun;
+    std::string oneWord;
     for (const CommandInfo& command : commands) {
-        if (command.noun != noun)
-            out << (noun.empty() ? "" : "\n") << "  " << command.noun;
-        if (!command.verb.empty())
-            out << (command.noun == noun ? "|" : " ") << command.verb;
+        if (command.verb.empty()) {
+            oneWord += ' ' + std::string(command.noun);
+            continue;
+        }
+        if (command.noun == noun)
+            out << '|' << command.verb;
+        else
+            out << (noun.empty() ? "  " : "\n  ") << command.noun << ' ' << command.verb;
         noun = command.noun;
     }
-    out << "\n\nbergamotctl COMMAND --help shows flags and an example. --format json prints JSON.\n"
+    out << "\n " << oneWord << "\n\n"
+        << "bergamotctl COMMAND --help shows flags and an example. --format json prints JSON.\n"
         << "exit status: 0 done, 1 not accepted or failed, 2 usage or input error, 3 outcome unknown, 4 not "
            "reachable,\n"
         << "5 wait timed out\n"
@@ -116,7 +185,7 @@
 
 void printHelp(std::ostream& out, const CommandInfo& command)
 {
-    out << "usage: bergamotctl " << fullName(command) << (command.arguments.empty() ? "" : " ") << command.arguments
+    out << "usage: bergamotctl " << commandName(command) << (command.arguments.empty() ? "" : " ") << command.arguments
         << " [FLAGS]\n"
         << command.summary << "\n\n";
     printFlags(out, command.flags);
@@ -128,7 +197,7 @@
 
 ExitStatus runWords(Session& session, std::span<const std::string> words, bool isHelp)
 {
-    const CommandInfo* command = findCommand(words);
+    const CommandInfo* command = findByName(words);
     if (command == nullptr && isHelp) {
         printHelp(session.out());
         return ExitStatus::Done;
@@ -142,9 +211,9 @@
         printHelp(session.out(), *command);
         return ExitStatus::Done;
     }
-    const Arguments arguments = words.subspan(command->verb.empty() ? 1 : 2);
-    if (arguments.size() < countRequired(command->arguments) || arguments.size() > countAll(command->arguments)) {
-        session.err() << "usage: bergamotctl " << fullName(*command) << ' ' << command->arguments << '\n';
+    const Arguments arguments = argumentsOf(*command, words);
+    if (!hasRightCount(*command, arguments)) {
+        session.err() << "usage: bergamotctl " << commandName(*command) << ' ' << command->arguments << '\n';
         return ExitStatus::Usage;
     }
     return session.open() ? command->run(session, arguments) : ExitStatus::Usage;
--- a/src/bergamotctl/session.h
+++ b/src/bergamotctl/session.h
@@ -68,12 +68,21 @@
     /// @param allowStale accept the answer of a control host without a valid lease, with a warning.
     std::optional<ConfigurationAnswer> readConfiguration(bool allowStale);
 
+    /// Makes readConfiguration() return this one, so that the steps of a dry run build on each other.
+    void simulate(const schema::Configuration& configuration) { m_simulated = configuration; }
+
     /// Sends a command until a control host gives a definite answer or the deadline passes. Prints the result.
     ExitStatus sendCommand(schema::Command command);
 
     /// Asks all control hosts for the answer to an earlier command. Prints the result.
     ExitStatus showRequest(const std::string& requestId);
 
+    /// @return the definite answer to an earlier command, if a control host remembers it.
+    std::optional<schema::CommandResult> findRequest(const std::string& requestId);
+
+    /// Prints an answer and, with --wait, waits for an accepted one.
+    ExitStatus printResult(const schema::CommandResult& result);
+
     /// Sends a GET to the control hosts in turn until one answers with 200.
     /// @param[out] fault set to the last fault otherwise.
     std::optional<HttpAnswer> askControl(
@@ -107,7 +116,6 @@
     bool tryCommand(const std::string& endpoint, const std::string& body, Attempt& attempt);
     ExitStatus finishCommand(const Attempt& attempt, const std::string& requestId);
     void reportUnknown(const std::string& requestId);
-    ExitStatus printResult(const schema::CommandResult& result);
 
     std::ostream& m_out;
     std::ostream& m_err;
@@ -115,6 +123,7 @@
     std::string m_token;
     HttpClient m_client;
     std::chrono::steady_clock::time_point m_deadline;
+    std::optional<schema::Configuration> m_simulated;
     ExitStatus m_lastFailure = ExitStatus::NotReachable;
 };
 
