Add the scenario language, its runner and two scenarios

Failures of the whole deployment need tests that script faults and repeat exactly. The runner drives EntryHost objects with fake backend servers, callers, fabric and network, all from one seed and a paused clock. Two scenarios run as one ctest.

--- /dev/null
+++ b/src/scenario/backend_server.h
@@ -0,0 +1,117 @@
+#pragma once
+
+/// @file
+/// A fake backend server that knows its TCP flows and answers callers directly.
+
+#include "scenario/flow_table.h"
+
+#include <cstddef>
+#include <functional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bergamotroute::scenario {
+
+/// What a backend server sends to a caller without passing the balancer.
+struct Reply {
+    enum class Kind : std::uint8_t {
+        SynAck,
+        Acknowledgement,
+        Answer,
+        FinAck,
+        Reset,
+    };
+    Kind kind = Kind::Acknowledgement;
+    FlowId flow = 0;
+    BackendIndex server = noBackend;
+    std::uint32_t epoch = 0;
+    std::uint32_t serverSequence = 0;
+    /// Next sequence number that the server expects.
+    std::uint32_t acknowledgement = 0;
+};
+
+struct BackendIdentity {
+    std::string name;
+    BackendIndex index = noBackend;
+    std::uint16_t service = 0;
+    IpAddress address;
+    std::uint16_t fouPort = 0;
+    std::string dataCentre;
+    std::uint32_t slots = 0;
+    /// Service addresses on the loopback interface.
+    std::vector<IpAddress> serviceAddresses;
+};
+
+/// How the load reports of a backend server relate to the truth.
+enum class ReportMode {
+    Honest,
+    Lagging,
+    Idle,
+    Busy,
+};
+
+/// A fake backend server. A packet other than a first packet of a flow that it does not know is answered with a reset.
+class BackendServer {
+public:
+    using Send = std::function<void(const Reply&)>;
+
+    BackendServer(BackendIdentity identity, FlowTable& flows, Send send);
+
+    const BackendIdentity& identity() const { return m_identity; }
+    BackendIdentity& identity() { return m_identity; }
+
+    void receive(std::span<const std::byte> packet, SimTime now);
+    void kill();
+    void restart();
+    bool isAlive() const { return m_isAlive; }
+    /// Grows with each start.
+    std::uint32_t epoch() const { return m_epoch; }
+    /// @return true if the server runs since the given epoch and knows the flow.
+    bool serves(FlowId flow, std::uint32_t epoch) const;
+
+    std::size_t openFlows() const { return m_flows.size(); }
+    std::uint64_t acceptedFlows() const { return m_acceptedFlows; }
+    SimTime lastAccepted() const { return m_lastAccepted; }
+
+    bool isFrozen = false;
+    bool announces = true;
+    int announcedState = 1;
+    ReportMode reportMode = ReportMode::Honest;
+    SimTime reportLag = 0;
+    /// Open flows at each report, oldest first; lagging reports use an older one.
+    std::vector<std::pair<SimTime, std::uint32_t>> history;
+
+private:
+    struct ServerFlow {
+        std::uint32_t clientStart = 0;
+        std::uint32_t clientNext = 0;
+        std::uint32_t serverStart = 0;
+    };
+
+    void receiveTcp(Flow& flow, const PacketView& packet, SimTime now);
+    void receiveDatagram(Flow& flow, SimTime now);
+    void acceptFirstPacket(Flow& flow, const PacketView& packet, SimTime now);
+    void receiveSegment(Flow& flow, ServerFlow& record, const PacketView& packet);
+    void noteAccepted(Flow& flow, SimTime now);
+    void reply(Reply::Kind kind, const Flow& flow, const ServerFlow& record);
+    void execute(Flow& flow, const ServerFlow& record);
+
+    BackendIdentity m_identity;
+    FlowTable& m_table;
+    Send m_send;
+    std::unordered_map<FlowId, ServerFlow> m_flows;
+    std::uint32_t m_epoch = 1;
+    std::uint64_t m_acceptedFlows = 0;
+    SimTime m_lastAccepted = -1;
+    bool m_isAlive = true;
+};
+
+/// Text that callers send and backend servers check.
+std::vector<std::byte> segmentPayload(FlowId flow, std::uint32_t sequence);
+
+/// Lets the flow table ask whether the first server of a flow still knows it.
+using IsServed = std::function<bool(const Flow&)>;
+
+}
--- /dev/null
+++ b/src/scenario/callers.cpp
@@ -0,0 +1,263 @@
+#include "scenario/callers.h"
+
+#include "bergamotroute/packet_builder.h"
+
+#include <algorithm>
+
+namespace bergamotroute::scenario {
+
+namespace {
+
+    // First retransmission times of common stacks: 1 s for a first packet (RFC 6298), 200 ms on short paths after that.
+    constexpr SimTime firstPacketTimeout = microsecondsPerSecond;
+    constexpr SimTime segmentTimeout = 200 * microsecondsPerMillisecond;
+    constexpr SimTime longestTimeout = 4 * microsecondsPerSecond;
+    constexpr int firstPacketAttempts = 6;
+    constexpr int segmentAttempts = 15;
+
+}
+
+Callers::Callers(EventQueue& queue, Random& random, FlowTable& flows, Send send, IsServed isServed)
+    : m_queue(queue)
+    , m_random(random)
+    , m_flows(flows)
+    , m_send(std::move(send))
+    , m_isServed(std::move(isServed))
+{
+}
+
+void Callers::open(const ServiceTarget& target, FlowKind kind, SimTime every, SimTime life)
+{
+    Flow flow;
+    flow.service = target.service;
+    flow.kind = kind;
+    flow.serviceAddress = target.address;
+    flow.servicePort = target.port;
+    flow.everyMs = static_cast<std::int32_t>(every / microsecondsPerMillisecond);
+    flow.endTime = life > 0 ? m_queue.now() + life : 0;
+    flow.sequence = static_cast<std::uint32_t>(m_random.bits());
+    Flow& added = m_flows.add(flow);
+    if (kind == FlowKind::Datagrams)
+        sendDatagram(added);
+    else
+        startSegment(added, TcpSyn);
+}
+
+void Callers::arm(Flow& flow, SimTime delay)
+{
+    const std::uint32_t generation = ++flow.timerGeneration;
+    m_queue.after(delay, [this, id = flow.id, generation] { handleTimer(id, generation); });
+}
+
+void Callers::handleTimer(FlowId id, std::uint32_t generation)
+{
+    Flow& flow = m_flows.at(id);
+    if (flow.timerGeneration != generation || flow.phase >= FlowPhase::Closed)
+        return;
+    if (flow.kind == FlowKind::Datagrams)
+        sendDatagram(flow);
+    else if (flow.isAwaitingAcknowledgement)
+        resend(flow);
+    else
+        sendNext(flow);
+}
+
+void Callers::sendSegment(Flow& flow, std::uint8_t flags, bool withPayload)
+{
+    if (flow.isSilent)
+        return;
+    flow.lastSent = m_queue.now();
+    const std::uint32_t acknowledgement = (flags & TcpSyn) != 0 ? 0 : flow.serverSequence + 1;
+    std::vector<std::byte> payload;
+    if (withPayload)
+        payload = segmentPayload(flow.id, flow.sequence);
+    m_send(flow.id, buildTcpPacket(m_flows.key(flow), { flags, flow.sequence, acknowledgement }, payload));
+}
+
+void Callers::startSegment(Flow& flow, std::uint8_t flags)
+{
+    flow.segmentFlags = flags;
+    flow.attempts = 1;
+    flow.isAwaitingAcknowledgement = true;
+    sendSegment(flow, flags, (flags & TcpPsh) != 0);
+    arm(flow, flags == TcpSyn ? firstPacketTimeout : segmentTimeout);
+}
+
+void Callers::resend(Flow& flow)
+{
+    const bool isFirst = flow.segmentFlags == TcpSyn;
+    if (flow.attempts >= (isFirst ? firstPacketAttempts : segmentAttempts)) {
+        fail(flow, "no acknowledgement");
+        return;
+    }
+    ++flow.attempts;
+    sendSegment(flow, flow.segmentFlags, (flow.segmentFlags & TcpPsh) != 0);
+    const SimTime timeout = (isFirst ? firstPacketTimeout : segmentTimeout) << std::min<int>(flow.attempts - 1, 5);
+    arm(flow, std::min(timeout, longestTimeout));
+}
+
+void Callers::sendNext(Flow& flow)
+{
+    if (flow.endTime > 0 && m_queue.now() >= flow.endTime) {
+        flow.phase = FlowPhase::Closing;
+        startSegment(flow, TcpFin | TcpAck);
+    } else {
+        startSegment(flow, TcpPsh | TcpAck);
+    }
+}
+
+void Callers::sendDatagram(Flow& flow)
+{
+    if (flow.endTime > 0 && m_queue.now() >= flow.endTime) {
+        finish(flow, FlowPhase::Closed);
+        return;
+    }
+    flow.lastSent = m_queue.now();
+    m_send(flow.id, buildUdpPacket(m_flows.key(flow), segmentPayload(flow.id, flow.sequence)));
+    arm(flow, flow.everyMs * microsecondsPerMillisecond);
+}
+
+void Callers::handleReply(const Reply& reply)
+{
+    Flow& flow = m_flows.at(reply.flow);
+    if (flow.isSilent)
+        return;
+    if (flow.kind == FlowKind::Datagrams)
+        handleDatagramReceived(flow, reply);
+    else if (reply.kind == Reply::Kind::SynAck)
+        handleSynAck(flow, reply);
+    else if (reply.kind == Reply::Kind::Reset)
+        handleReset(flow, reply);
+    else if (reply.server == flow.server)
+        handleAcknowledgement(flow, reply);
+}
+
+void Callers::handleDatagramReceived(Flow& flow, const Reply& reply)
+{
+    const bool isFirst = flow.server == noBackend;
+    if (isFirst) {
+        m_flows.count(Counter::Opened);
+        flow.phase = FlowPhase::Open;
+    } else if (m_isServed(flow)) {
+        m_flows.note(flow.id, "datagrams now reach another backend server");
+        m_flows.count(Counter::Broken);
+    }
+    flow.server = reply.server;
+    flow.serverEpoch = reply.epoch;
+}
+
+void Callers::handleSynAck(Flow& flow, const Reply& reply)
+{
+    if (flow.phase != FlowPhase::Opening) {
+        const bool isOther = reply.server != flow.server || reply.epoch != flow.serverEpoch;
+        if (isOther && flow.phase < FlowPhase::Closed && m_isServed(flow)) {
+            m_flows.note(flow.id, "accepted by a second backend server");
+            m_flows.count(Counter::Split);
+        }
+        return;
+    }
+    flow.phase = FlowPhase::Open;
+    flow.server = reply.server;
+    flow.serverEpoch = reply.epoch;
+    flow.serverSequence = reply.serverSequence;
+    flow.isAwaitingAcknowledgement = false;
+    flow.sequence += 1;
+    m_flows.count(Counter::Opened);
+    if (flow.kind == FlowKind::Request) {
+        startSegment(flow, TcpPsh | TcpAck);
+        return;
+    }
+    sendSegment(flow, TcpAck, false);
+    if (flow.everyMs > 0)
+        arm(flow, m_random.upTo(flow.everyMs * microsecondsPerMillisecond));
+}
+
+void Callers::handleAcknowledgement(Flow& flow, const Reply& reply)
+{
+    const std::uint32_t length = (flow.segmentFlags & TcpFin) != 0 ? 1 : sizeof(FlowId) + sizeof(flow.sequence);
+    if (!flow.isAwaitingAcknowledgement || reply.acknowledgement != flow.sequence + length)
+        return;
+    flow.sequence = reply.acknowledgement;
+    flow.isAwaitingAcknowledgement = false;
+    if (flow.phase == FlowPhase::Closing) {
+        finish(flow, FlowPhase::Closed);
+    } else if (reply.kind == Reply::Kind::Answer) {
+        m_flows.count(Counter::Answered);
+        flow.phase = FlowPhase::Closing;
+        startSegment(flow, TcpFin | TcpAck);
+    } else {
+        arm(flow, flow.everyMs * microsecondsPerMillisecond);
+    }
+}
+
+void Callers::handleReset(Flow& flow, const Reply& reply)
+{
+    // A late duplicate is answered with a reset whose sequence number the caller's stack no longer accepts.
+    const bool isCurrent = reply.acknowledgement == flow.sequence;
+    if (isCurrent && flow.phase < FlowPhase::Closed)
+        fail(flow, "reset by a backend server");
+}
+
+void Callers::handleHostPacket(std::span<const std::byte> packet)
+{
+    std::error_code error;
+    const PacketView view = parsePacket(packet, error);
+    if (error)
+        return;
+    FlowKey key = view.flow;
+    std::swap(key.source, key.destination);
+    std::swap(key.sourcePort, key.destinationPort);
+    Flow* flow = m_flows.find(key);
+    if (flow == nullptr || flow->isSilent)
+        return;
+    if ((view.tcpFlags & TcpRst) == 0) {
+        m_flows.note(flow->id, "probed by an entry host");
+        if (flow->phase < FlowPhase::Closed)
+            sendSegment(*flow, TcpAck, false);
+        return;
+    }
+    if (flow->phase != FlowPhase::Opening) {
+        if (flow->phase < FlowPhase::Closed)
+            fail(*flow, "reset by an entry host");
+        return;
+    }
+    m_flows.note(flow->id, "refused by an entry host");
+    m_flows.count(Counter::Refused);
+    flow->isRefused = true;
+    if (flow->wasReceived)
+        m_flows.count(Counter::RefusedButRun);
+    finish(*flow, FlowPhase::Closed);
+}
+
+void Callers::silence(Flow& flow)
+{
+    flow.isSilent = true;
+    ++flow.timerGeneration;
+    m_flows.note(flow.id, "goes silent");
+}
+
+void Callers::finish(Flow& flow, FlowPhase phase)
+{
+    flow.phase = phase;
+    flow.isAwaitingAcknowledgement = false;
+    ++flow.timerGeneration;
+}
+
+void Callers::fail(Flow& flow, const char* reason)
+{
+    m_flows.note(flow.id, std::string("ended: ") + reason);
+    const bool wasOpening = flow.phase == FlowPhase::Opening;
+    const bool wasClosing = flow.phase == FlowPhase::Closing;
+    const bool isServed = !wasOpening && m_isServed(flow);
+    if (wasOpening)
+        m_flows.count(Counter::Unopened);
+    else if (isServed)
+        m_flows.count(Counter::Broken);
+    else if (!wasClosing)
+        m_flows.count(Counter::EndedWithTarget);
+    if (isServed && !wasClosing && flow.kind == FlowKind::Request)
+        m_flows.count(Counter::Unanswered);
+    finish(flow, FlowPhase::Broken);
+}
+
+}
--- /dev/null
+++ b/src/scenario/command_table.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/// @file
+/// The commands of the scenario language with the kinds of their arguments.
+
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+namespace bergamotroute::scenario {
+
+/// How the parser reads a word.
+enum class ValueKind {
+    Name,
+    Duration,
+    Rate,
+    Percent,
+    Number,
+};
+
+/// @return the kind with an article, for error texts.
+std::string_view describe(ValueKind kind);
+
+/// A key=value word of a command.
+struct OptionSpec {
+    std::string_view name;
+    ValueKind kind;
+};
+
+/// What the parser accepts for one command.
+struct CommandSpec {
+    std::string_view name;
+    std::vector<ValueKind> arguments;
+    std::size_t requiredArguments = 0;
+    /// The last argument may be given several times.
+    bool repeatsLast = false;
+    std::vector<OptionSpec> options;
+    std::string_view usage;
+};
+
+/// @return all commands.
+const std::vector<CommandSpec>& commandTable();
+
+/// @return the command, or a null pointer.
+const CommandSpec* findCommand(std::string_view name);
+
+}
--- /dev/null
+++ b/src/scenario/deployment.h
@@ -0,0 +1,133 @@
+#pragma once
+
+/// @file
+/// A whole deployment inside one process: entry hosts, backend servers, callers, the fabric and the network between.
+
+#include "scenario/backend_server.h"
+#include "scenario/callers.h"
+#include "scenario/configuration_feed.h"
+#include "scenario/network.h"
+#include "scenario/simulated_host.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bergamotroute::scenario {
+
+/// A service of a scenario.
+struct ServiceSetup {
+    schema::Service definition;
+    std::string alias;
+    std::uint32_t slots = 2;
+    std::uint32_t leaseSeconds = 6;
+    std::uint32_t targetCount = 0;
+};
+
+/// Parameters of a run that do not change during it.
+struct DeploymentOptions {
+    std::uint64_t seed = 1;
+    HostFactory factory = makeEntryHost;
+    EntryHostOptions hostOptions;
+    /// Time after which the fabric stops handing packets to a dead host.
+    SimTime fabricDetection = microsecondsPerSecond;
+};
+
+/// Joins the parts. Every choice comes from one seed, so that a run can be repeated exactly.
+class Deployment final : public HostPorts {
+public:
+    explicit Deployment(DeploymentOptions options);
+
+    EventQueue& queue() { return m_queue; }
+    Random& random() { return m_random; }
+    Network& network() { return m_network; }
+    FlowTable& flows() { return m_flows; }
+    Callers& callers() { return m_callers; }
+    ConfigurationFeed& configuration() { return m_configuration; }
+    DeploymentOptions& options() { return m_options; }
+
+    std::vector<std::string> dataCentres;
+    /// Largest extra delay of messages between entry hosts other than heartbeats.
+    SimTime messageSpread = 0;
+
+    void addHost(const std::string& name, const std::string& dataCentre);
+    std::size_t addService(const ServiceSetup& service);
+    void addTargets(std::size_t service, std::uint32_t count);
+    /// Starts everything; callers may begin after the hosts have their tables.
+    void start();
+    void advance(SimTime duration);
+
+    std::vector<std::unique_ptr<SimulatedHost>>& hosts() { return m_hosts; }
+    std::vector<std::unique_ptr<BackendServer>>& backends() { return m_backends; }
+    std::vector<ServiceSetup>& services() { return m_services; }
+    SimulatedHost* findHost(const std::string& name);
+    BackendServer* findBackend(const std::string& name);
+    std::optional<std::size_t> findService(const std::string& name) const;
+    ServiceTarget serviceTarget(std::size_t service) const;
+    PlaceId placeOf(const BackendServer& backend) const
+    {
+        return m_slots[static_cast<std::size_t>(backend.identity().index)].place;
+    }
+
+    void killHost(SimulatedHost& host);
+    void restartHost(SimulatedHost& host);
+    void leaveHost(SimulatedHost& host);
+    void freezeHost(SimulatedHost& host, SimTime duration);
+    void announce(BackendServer& backend, int state);
+    /// Makes a backend server announce itself once for another service.
+    void announceAs(BackendServer& backend, std::size_t service);
+    std::uint32_t lastAnnouncementCode(const BackendServer& backend) const;
+
+    void forwardFromHost(PlaceId host, const Endpoint& target, std::span<const std::byte> packet) override;
+    void relayFromHost(PlaceId host, HostIndex from, HostIndex peer, RelayKind kind, TargetId target,
+        std::span<const std::byte> packet) override;
+    void sendToCallerFromHost(PlaceId host, std::span<const std::byte> packet) override;
+    void messageFromHost(PlaceId host, HostIndex peer, const std::string& bytes) override;
+    void checkFromHost(PlaceId host, TargetId target) override;
+
+private:
+    struct BackendSlot {
+        PlaceId place = 0;
+        TargetId target = noTarget;
+        std::uint32_t lastCode = 0;
+        SimTime renewal = 0;
+        std::uint32_t announceGeneration = 0;
+    };
+
+    /// Runs the action at the arrival of each copy of a packet.
+    void carry(PlaceId from, PlaceId to, std::function<void()> action, SimTime extra = 0);
+    void fromCaller(FlowId flow, std::vector<std::byte> packet);
+    void fromBackend(const Reply& reply);
+    bool isServed(const Flow& flow) const;
+    SimulatedHost* hostAt(PlaceId place);
+    SimulatedHost* hostByIndex(HostIndex index);
+    std::vector<PeerConfig> peers() const;
+    std::uint64_t newIncarnation();
+    void scheduleTick();
+    void renewAnnouncement(std::size_t backend);
+    void sendAnnouncement(std::size_t backend, const schema::Announcement& announcement);
+    schema::Announcement announcementOf(const BackendServer& backend) const;
+    schema::LoadReport loadReport(BackendServer& backend);
+    void answerCheck(PlaceId host, std::size_t backend);
+    void addToFabric(std::size_t host);
+    void withdrawFromFabric(const SimulatedHost& host, SimTime delay);
+    void noteHost(std::span<const std::byte> packet, const std::string& text);
+
+    DeploymentOptions m_options;
+    EventQueue m_queue;
+    Random m_random;
+    Network m_network;
+    FlowTable m_flows;
+    Callers m_callers;
+    ConfigurationFeed m_configuration;
+    std::vector<ServiceSetup> m_services;
+    std::vector<std::unique_ptr<SimulatedHost>> m_hosts;
+    std::vector<std::unique_ptr<BackendServer>> m_backends;
+    std::vector<BackendSlot> m_slots;
+    std::vector<std::size_t> m_fabric;
+    std::uint32_t m_nextBackendAddress = 1;
+    bool m_isStarted = false;
+};
+
+}
