--- a/src/scenario/configuration_commands.cpp
+++ b/src/scenario/configuration_commands.cpp
@@ -88,7 +88,7 @@
     {
         const auto address = statement.options.find("address");
         const auto dataCentres = statement.options.find("datacentres");
-        const std::string fault = editService(deployment, statement.arguments[0].text, [&](schema::Service& service) {
+        std::string fault = editService(deployment, statement.arguments[0].text, [&](schema::Service& service) {
             if (address != statement.options.end())
                 service.set_address(address->second.text);
             if (dataCentres == statement.options.end())
--- a/src/scenario/deployment.cpp
+++ b/src/scenario/deployment.cpp
@@ -211,7 +211,7 @@
     m_queue.after(duration, [&host] { host.thaw(); });
 }
 
-void Deployment::carry(PlaceId from, PlaceId to, std::function<void()> action, SimTime extra)
+void Deployment::carry(PlaceId from, PlaceId to, const std::function<void()>& action, SimTime extra)
 {
     const Transit transit = m_network.transit(from, to);
     for (std::size_t copy = 0; copy < transit.copies; ++copy)
--- a/src/scenario/deployment.h
+++ b/src/scenario/deployment.h
@@ -96,7 +96,7 @@
     };
 
     /// Runs the action at the arrival of each copy of a packet.
-    void carry(PlaceId from, PlaceId to, std::function<void()> action, SimTime extra = 0);
+    void carry(PlaceId from, PlaceId to, const std::function<void()>& action, SimTime extra = 0);
     void fromCaller(FlowId flow, std::vector<std::byte> packet);
     void fromBackend(const Reply& reply);
     bool isServed(const Flow& flow) const;
--- a/src/scenario/runner.cpp
+++ b/src/scenario/runner.cpp
@@ -112,7 +112,7 @@
     ServiceSetup setup;
     if (m_deployment->dataCentres.empty())
         return "a service needs a data centre";
-    const std::string fault = describeService(statement, setup);
+    std::string fault = describeService(statement, setup);
     if (fault.empty())
         m_deployment->addService(setup);
     return fault;
@@ -207,7 +207,7 @@
     std::string error;
     double seen = readFigure(*m_deployment, words[0].text, subject, m_mark, error);
     while (error.empty() && !compare(seen, words[comparison].text, wanted) && m_deployment->queue().now() < deadline) {
-        const std::string fault = advance(waitStep);
+        std::string fault = advance(waitStep);
         if (!fault.empty())
             return fault;
         seen = readFigure(*m_deployment, words[0].text, subject, m_mark, error);
