--- a/src/scenario/command_table.cpp
+++ b/src/scenario/command_table.cpp
@@ -39,7 +39,7 @@
             { "feeds", { name }, 1, false,
                 { { "count", number }, { "rate", rate }, { "every", duration }, { "life", duration } },
                 "feeds SERVICE count=N rate=N/s every=TIME" },
-            { "requests", { name }, 1, false, { { "rate", rate }, { "think", duration }, { "for", duration } },
+            { "requests", { name }, 1, false, { { "rate", rate }, { "for", duration } },
                 "requests SERVICE rate=N/s for=TIME" },
             { "datagrams", { name }, 1, false,
                 { { "count", number }, { "rate", rate }, { "every", duration }, { "life", duration } },
@@ -72,7 +72,6 @@
         return {
             { "announce", { name, name }, 2, false, { { "as", name } }, "announce TARGET ready|draining|gone|silent" },
             { "add-targets", { name, number }, 2, false, {}, "add-targets SERVICE COUNT" },
-            { "add-host", { name }, 1, false, { { "datacentre", name } }, "add-host NAME datacentre=NAME" },
             { "backend", { name, name }, 2, true, {}, "backend drain|ready|maintenance|remove TARGET..." },
             { "weight", { name, percent }, 2, false, {}, "weight TARGET PERCENT" },
             { "stop-datacentre", { name }, 1, false, {}, "stop-datacentre NAME" },
--- a/src/scenario/figures.cpp
+++ b/src/scenario/figures.cpp
@@ -149,6 +149,23 @@
         return table;
     }
 
+    /// @return false for a backend server that operators have drained, removed or given another weight.
+    bool hasFullWeight(Deployment& deployment, const BackendServer& backend)
+    {
+        constexpr std::uint32_t fullWeight = 100;
+        const std::string address = backend.identity().address.toString();
+        for (const schema::BackendOverride& entry : deployment.configuration().accepted().backends()) {
+            const bool isFull = entry.state() == schema::BACKEND_READY && entry.weight_percent() == fullWeight;
+            if (entry.address() == address && !isFull)
+                return false;
+        }
+        for (const schema::DataCentre& dataCentre : deployment.configuration().accepted().data_centres()) {
+            if (dataCentre.name() == backend.identity().dataCentre && dataCentre.stopped())
+                return false;
+        }
+        return true;
+    }
+
     std::optional<std::size_t> counterIndex(const std::string& name)
     {
         for (std::size_t index = 0; index < counterCount; ++index) {
@@ -175,7 +192,7 @@
     std::size_t count = 0;
     for (const auto& backend : deployment.backends()) {
         const bool takesFlows = backend->identity().service == service && backend->isAlive() && backend->announces
-            && backend->announcedState == schema::READY;
+            && backend->announcedState == schema::READY && hasFullWeight(deployment, *backend);
         if (!takesFlows)
             continue;
         const auto open = static_cast<double>(backend->openFlows());
