--- a/src/bergamot-control/control_daemon.cpp
+++ b/src/bergamot-control/control_daemon.cpp
@@ -227,8 +227,12 @@
     schema::ConfigurationAnswer result;
     result.set_revision(configuration.revision());
     result.set_committed(true);
-    if (configuration.revision() > haveRevision)
+    if (configuration.revision() > haveRevision && haveRevision > 0 && m_log->hasHistorySince(haveRevision)) {
+        for (schema::LogEntry& entry : m_log->history(haveRevision))
+            *result.add_entries() = std::move(entry);
+    } else if (configuration.revision() > haveRevision) {
         *result.mutable_configuration() = configuration;
+    }
     reply.send(statusOk, result.SerializeAsString());
 }
 
