--- /dev/null
+++ b/src/libbergamot/quorum/quorum_history_test.cpp
@@ -0,0 +1,168 @@
+#include "quorum/quorum_test_support.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+using namespace bergamotroute::test;
+
+namespace {
+
+/// What a client knows of one command.
+struct Request {
+    schema::Command command;
+    std::set<std::uint64_t> acceptedRevisions;
+    bool refused = false;
+};
+
+/// Random faults and commands; checks every step against what clients were told.
+class History {
+public:
+    History(std::size_t count, std::uint64_t seed)
+        : m_quorum(count, seed)
+        , m_random(seed * 31 + count)
+    {
+        m_quorum.lossPercent = 5;
+        m_quorum.repeatPercent = 5;
+        m_quorum.syncPercent = 60;
+        m_quorum.maxDelaySteps = 6;
+    }
+
+    void run(int steps)
+    {
+        for (int i = 0; i < steps; ++i) {
+            injectFault();
+            if (chance(8))
+                sendCommand();
+            m_quorum.step();
+            collectAnswers();
+            checkLease();
+        }
+        settle();
+        checkOutcome();
+    }
+
+    std::size_t acceptedCount() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(),
+            [](const auto& item) { return !item.second.acceptedRevisions.empty(); }));
+    }
+
+private:
+    bool chance(unsigned perThousand) { return m_random() % 1000 < perThousand * 10; }
+
+    Member& randomMember() { return *m_quorum.members[m_random() % m_quorum.members.size()]; }
+
+    void injectFault()
+    {
+        const unsigned choice = static_cast<unsigned>(m_random() % 1000);
+        if (choice < 4) {
+            randomMember().crash();
+        } else if (choice < 14) {
+            Member& member = randomMember();
+            if (!member.log)
+                member.start();
+        } else if (choice < 18) {
+            m_quorum.isolate(randomMember().identity);
+        } else if (choice < 24) {
+            m_quorum.heal();
+        }
+    }
+
+    void sendCommand()
+    {
+        Member* target = chance(30) ? &randomMember() : m_quorum.leader();
+        if (!target || !target->log)
+            return;
+        const bool resend = !m_requests.empty() && chance(25);
+        const std::size_t number = resend ? m_random() % m_requests.size() : m_requests.size();
+        const std::string id = "r" + std::to_string(number);
+        Request& request = m_requests[id];
+        if (!resend) {
+            request.command = makeCommand(id, "10.0." + std::to_string(number / 250) + '.' + std::to_string(number % 250));
+            // A third of the commands compares the revision, some of them with a stale one.
+            if (chance(33))
+                request.command.set_expect_revision(target->log->configuration().revision() - (chance(30) ? 1 : 0));
+        }
+        m_tokens[m_quorum.command(*target, request.command)] = id;
+    }
+
+    void collectAnswers()
+    {
+        for (const auto& member : m_quorum.members) {
+            for (const auto& [token, result] : member->answers) {
+                Request& request = m_requests[m_tokens[token]];
+                if (result.outcome() == schema::OUTCOME_ACCEPTED) {
+                    request.acceptedRevisions.insert(result.revision());
+                    m_highestAnswered = std::max(m_highestAnswered, result.revision());
+                }
+                request.refused = request.refused || result.outcome() == schema::OUTCOME_NOT_ACCEPTED;
+            }
+            member->answers.clear();
+        }
+    }
+
+    void checkLease()
+    {
+        REQUIRE(m_quorum.leaseCount() <= 1);
+        if (Member* leader = m_quorum.leader())
+            REQUIRE(leader->log->configuration().revision() >= m_highestAnswered);
+    }
+
+    void settle()
+    {
+        m_quorum.heal();
+        m_quorum.lossPercent = 0;
+        m_quorum.syncPercent = 100;
+        for (const auto& member : m_quorum.members) {
+            if (!member->log)
+                member->start();
+        }
+        m_quorum.run(Duration(8000));
+        collectAnswers();
+    }
+
+    void checkOutcome()
+    {
+        const schema::Configuration& first = m_quorum.members[0]->log->configuration();
+        for (const auto& member : m_quorum.members) {
+            CHECK(member->log->configuration().SerializeAsString() == first.SerializeAsString());
+            CHECK_FALSE(member->revisionFell);
+        }
+        std::set<std::string> present;
+        for (const schema::BackendOverride& backend : first.backends())
+            present.insert(backend.address());
+        for (const auto& [id, request] : m_requests) {
+            const std::string& address = request.command.changes(0).set_backend().address();
+            CHECK(request.acceptedRevisions.size() <= 1);
+            if (!request.acceptedRevisions.empty()) {
+                CHECK_FALSE(request.refused);
+                CHECK(present.contains(address));
+            }
+            if (request.refused)
+                CHECK_FALSE(present.contains(address));
+        }
+    }
+
+    TestQuorum m_quorum;
+    std::mt19937_64 m_random;
+    std::map<std::string, Request> m_requests;
+    std::map<std::uint64_t, std::string> m_tokens;
+    std::uint64_t m_highestAnswered = 0;
+};
+
+}
+
+// Guards against lost accepted commands, refused commands that come into force, two leases at once, old reads under a
+// lease and revisions that fall, under crashes, lost syncs, partitions, and lost, late and repeated messages.
+TEST_CASE("random histories keep every answer true")
+{
+    for (const std::size_t count : { std::size_t { 3 }, std::size_t { 5 } }) {
+        for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+            CAPTURE(count);
+            CAPTURE(seed);
+            History history(count, seed);
+            history.run(6000);
+            CHECK(history.acceptedCount() > 20);
+        }
+    }
+}
--- /dev/null
+++ b/src/libbergamot/quorum/quorum_test_support.h
@@ -0,0 +1,265 @@
+#pragma once
+
+/// @file
+/// Several quorum logs in one test, with a paused clock, a lossy network and disks that lose what is not synced.
+
+#include "bergamotroute/quorum_log.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bergamotroute::test {
+
+inline schema::Command makeCommand(const std::string& requestId, const std::string& address)
+{
+    schema::Command command;
+    command.set_request_id(requestId);
+    schema::BackendOverride& backend = *command.add_changes()->mutable_set_backend();
+    backend.set_service("ordering");
+    backend.set_address(address);
+    backend.set_weight_percent(50);
+    return command;
+}
+
+inline schema::Snapshot firstSnapshot(std::size_t count)
+{
+    schema::Snapshot snapshot;
+    snapshot.set_last_index(1);
+    snapshot.set_last_term(1);
+    schema::Configuration& configuration = *snapshot.mutable_configuration();
+    configuration.set_revision(1);
+    configuration.set_term(1);
+    configuration.set_flow_hash_key(7);
+    configuration.add_services()->set_name("ordering");
+    for (std::size_t i = 0; i < count; ++i) {
+        schema::ControlMember& member = *configuration.add_control_members();
+        member.set_identity("m" + std::to_string(i));
+        member.set_host("host" + std::to_string(i));
+        member.set_rpc_endpoint("127.0.0.1:" + std::to_string(1000 + i));
+        member.set_voter(true);
+    }
+    return snapshot;
+}
+
+/// One member with its disk.
+class Member final : public QuorumSink {
+public:
+    Member(std::string memberIdentity, const ManualClock& memberClock, std::uint64_t memberSeed)
+        : identity(std::move(memberIdentity))
+        , clock(memberClock)
+        , seed(memberSeed)
+    {
+    }
+
+    void start()
+    {
+        QuorumOptions options;
+        options.identity = identity;
+        options.host = identity;
+        options.snapshotEntries = 20;
+        options.seed = ++seed;
+        unsynced.clear();
+        lifeRevision = 0;
+        log = std::make_unique<QuorumLog>(options, disk, *this, clock.now());
+    }
+
+    /// Ends the process; what is not synced is lost.
+    void crash()
+    {
+        log.reset();
+        unsynced.clear();
+    }
+
+    /// Completes all requests to persist.
+    void sync(bool succeeded = true)
+    {
+        while (log && !unsynced.empty()) {
+            const PersistRequest request = std::move(unsynced.front());
+            unsynced.pop_front();
+            if (succeeded)
+                write(request);
+            log->handlePersisted(request.id, succeeded, clock.now());
+        }
+    }
+
+    void persist(const PersistRequest& request) override { unsynced.push_back(request); }
+    void send(const schema::ControlMessage& message) override { outbox.push_back(message); }
+    void answer(std::uint64_t token, const schema::CommandResult& result) override { answers[token] = result; }
+    void configurationChanged(const schema::Configuration& configuration) override
+    {
+        revisionFell = revisionFell || configuration.revision() < lifeRevision;
+        lifeRevision = configuration.revision();
+    }
+    void logEvent(ResultCode code, std::string_view) override { events.push_back(code); }
+
+    std::string identity;
+    const ManualClock& clock;
+    std::uint64_t seed;
+    StoredLog disk;
+    std::unique_ptr<QuorumLog> log;
+    std::deque<PersistRequest> unsynced;
+    std::vector<schema::ControlMessage> outbox;
+    std::map<std::uint64_t, schema::CommandResult> answers;
+    std::vector<ResultCode> events;
+    std::uint64_t lifeRevision = 0;
+    bool revisionFell = false;
+
+private:
+    void write(const PersistRequest& request)
+    {
+        if (request.hardState)
+            disk.hardState = *request.hardState;
+        if (request.snapshot) {
+            disk.snapshot = request.snapshot;
+            disk.baseIndex = request.baseIndex;
+            disk.baseTerm = request.baseTerm;
+            disk.entries.clear();
+        }
+        for (const schema::LogEntry& entry : request.entries) {
+            while (!disk.entries.empty() && disk.entries.back().index() >= entry.index())
+                disk.entries.pop_back();
+            disk.entries.push_back(entry);
+        }
+    }
+};
+
+/// Members and the network between them.
+class TestQuorum {
+public:
+    TestQuorum(std::size_t count, std::uint64_t seed)
+        : random(seed)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            add("m" + std::to_string(i));
+        members[0]->log->form(firstSnapshot(count), clock.now());
+    }
+
+    Member& add(const std::string& identity)
+    {
+        members.push_back(std::make_unique<Member>(identity, clock, random()));
+        members.back()->start();
+        return *members.back();
+    }
+
+    /// Advances the clock by one step, syncs disks, and delivers messages.
+    void step()
+    {
+        clock.advance(stepTime);
+        for (const auto& member : members) {
+            if (member->log && member->log->nextDeadline() <= clock.now())
+                member->log->advance(clock.now());
+            if (random() % 100 < syncPercent)
+                member->sync();
+            collect(*member);
+        }
+        deliver();
+    }
+
+    void run(Duration time)
+    {
+        for (const TimePoint end = clock.now() + time; clock.now() < end;)
+            step();
+    }
+
+    Member* leader()
+    {
+        for (const auto& member : members) {
+            if (member->log && member->log->isLeaseValid(clock.now()))
+                return member.get();
+        }
+        return nullptr;
+    }
+
+    std::size_t leaseCount() const
+    {
+        return static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
+            [this](const auto& member) { return member->log && member->log->isLeaseValid(clock.now()); }));
+    }
+
+    /// Sends a command to a member.
+    /// @return the token of the answer.
+    std::uint64_t command(Member& member, const schema::Command& body)
+    {
+        const std::uint64_t token = ++lastToken;
+        member.log->handleCommand(token, body, clock.now(), clock.wallMilliseconds());
+        return token;
+    }
+
+    /// Sends a command to the leader and waits for its answer.
+    schema::CommandResult decide(const schema::Command& body)
+    {
+        for (int attempt = 0; attempt < 100; ++attempt) {
+            run(Duration(100));
+            Member* target = leader();
+            if (!target)
+                continue;
+            const std::uint64_t token = command(*target, body);
+            run(Duration(500));
+            const auto found = target->answers.find(token);
+            if (found != target->answers.end() && found->second.outcome() != schema::OUTCOME_UNKNOWN)
+                return found->second;
+        }
+        return {};
+    }
+
+    void isolate(const std::string& identity) { cutOff.insert(identity); }
+    void heal() { cutOff.clear(); }
+
+    static constexpr Duration stepTime { 10 };
+    ManualClock clock;
+    std::mt19937_64 random;
+    std::vector<std::unique_ptr<Member>> members;
+    std::uint64_t lastToken = 0;
+    unsigned lossPercent = 0;
+    unsigned repeatPercent = 0;
+    unsigned syncPercent = 100;
+    /// Longest delay of a message, in steps.
+    unsigned maxDelaySteps = 1;
+
+private:
+    struct InFlight {
+        TimePoint due;
+        schema::ControlMessage message;
+    };
+
+    void collect(Member& member)
+    {
+        for (const schema::ControlMessage& message : member.outbox) {
+            const unsigned copies = random() % 100 < repeatPercent ? 2 : 1;
+            for (unsigned copy = 0; copy < copies; ++copy) {
+                const auto delay = stepTime * static_cast<Duration::rep>(random() % (maxDelaySteps + 1));
+                if (random() % 100 >= lossPercent)
+                    network.push_back({ clock.now() + delay, message });
+            }
+        }
+        member.outbox.clear();
+    }
+
+    void deliver()
+    {
+        std::vector<InFlight> waiting;
+        std::swap(waiting, network);
+        for (const InFlight& item : waiting) {
+            if (item.due > clock.now()) {
+                network.push_back(item);
+                continue;
+            }
+            const bool isCut = cutOff.contains(item.message.from()) != cutOff.contains(item.message.to());
+            for (const auto& member : members) {
+                if (!isCut && member->log && member->identity == item.message.to())
+                    member->log->handleMessage(item.message, clock.now());
+            }
+        }
+    }
+
+    std::set<std::string> cutOff;
+    std::vector<InFlight> network;
+};
+
+}
