--- a/src/bergamotd/entry_daemon.cpp
+++ b/src/bergamotd/entry_daemon.cpp
@@ -14,6 +14,7 @@
 
     /// IPv4 and UDP headers, which count as control traffic.
     constexpr std::size_t datagramOverhead = 28;
+    constexpr unsigned mostBatchesPerTurn = 16;
 
     Endpoint parseEndpoint(const std::string& text)
     {
@@ -66,6 +67,7 @@
     , m_announce(loop)
     , m_host(toOptions(m_settings, loop), *this, loop.now())
     , m_timer(loop, [this] {
+        m_armedDeadline = noDeadline;
         m_host.advance(m_loop.now());
         finishRound();
     })
@@ -87,6 +89,10 @@
     } else if (saved.revision() > 0) {
         m_host.handleConfiguration(saved, m_loop.now());
     }
+    if (const std::error_code error = startExchange()) {
+        detail = m_settings.peer_listen();
+        return error;
+    }
     addRoutes();
     m_fabricWatch = std::make_unique<ReadWatch>(m_loop, m_fabric.descriptor(), [this] { receiveFabric(); });
     m_peerWatch = std::make_unique<ReadWatch>(m_loop, m_peers.descriptor(), [this] { receivePeers(); });
@@ -116,6 +122,23 @@
     return m_announce.listen(parseEndpoint(detail));
 }
 
+std::error_code EntryDaemon::startExchange()
+{
+    ConfigurationExchangeOptions options;
+    options.host = m_settings.host();
+    options.listen = parseEndpoint(m_settings.peer_listen());
+    for (const std::string& endpoint : m_settings.control_endpoints())
+        options.controlHosts.push_back(parseEndpoint(endpoint));
+    for (const schema::PeerSettings& peer : m_settings.peers()) {
+        if (peer.host() != m_settings.host())
+            options.neighbours.push_back(parseEndpoint(peer.endpoint()));
+    }
+    m_exchange = std::make_unique<ConfigurationExchange>(
+        m_loop, std::move(options), [this]() -> const schema::Configuration& { return m_host.configuration(); },
+        [this](const schema::Configuration& configuration) { applyConfiguration(configuration); });
+    return m_exchange->start();
+}
+
 ResultCode EntryDaemon::applyConfiguration(const schema::Configuration& configuration)
 {
     if (configuration.revision() <= m_host.configuration().revision())
@@ -124,6 +147,7 @@
         writeLog(LogLevel::Error, ResultCode::StorageFailed, "configuration is in force but not kept on disk");
     const ResultCode code = m_host.handleConfiguration(configuration, m_loop.now());
     finishRound();
+    m_exchange->revisionChanged();
     writeLog(LogLevel::Info, code, "configuration", { { "revision", std::to_string(configuration.revision()) } });
     return code;
 }
@@ -136,16 +160,28 @@
 }
 
 void EntryDaemon::receiveFabric()
+{
+    // Under load the next batch is there already; reading on saves a turn of the event loop for each batch. The limit
+    // keeps timers and heartbeats running.
+    for (unsigned batch = 0; batch < mostBatchesPerTurn; ++batch) {
+        if (receiveFabricBatch() == 0)
+            break;
+        m_fabric.flush();
+        m_peers.flush();
+    }
+    finishRound();
+}
+
+std::size_t EntryDaemon::receiveFabricBatch()
 {
     const TimePoint now = m_loop.now();
-    m_fabric.receive([&](std::span<const std::byte> packet, const Endpoint& source) {
+    return m_fabric.receive([&](std::span<const std::byte> packet, const Endpoint& source) {
         ++m_traffic.fabricPackets;
         if (m_settings.fabric_send().empty())
             m_fabricReturn = source;
         if (m_host.handlePacket(packet, now) != ResultCode::Ok)
             ++m_traffic.droppedPackets;
     });
-    finishRound();
 }
 
 void EntryDaemon::receivePeers()
@@ -188,7 +224,10 @@
         m_loop.stop();
         return;
     }
-    m_timer.startAt(m_host.nextDeadline());
+    if (const TimePoint deadline = m_host.nextDeadline(); deadline != m_armedDeadline) {
+        m_armedDeadline = deadline;
+        m_timer.startAt(deadline);
+    }
 }
 
 void EntryDaemon::forwardPacket(const Endpoint& target, std::span<const std::byte> packet)
--- a/src/bergamotd/entry_daemon.h
+++ b/src/bergamotd/entry_daemon.h
@@ -3,6 +3,7 @@
 /// @file
 /// The shell around EntryHost: sockets, timers, health checks and configuration of one entry host.
 
+#include "bergamotd/configuration_exchange.h"
 #include "bergamotd/configuration_store.h"
 #include "bergamotroute/entry_host.h"
 #include "libbergamotio/event_loop.h"
@@ -57,7 +58,9 @@
     void logEvent(ResultCode code, std::string_view detail) override;
 
     std::error_code openListeners(std::string& detail);
+    std::error_code startExchange();
     void receiveFabric();
+    std::size_t receiveFabricBatch();
     void receivePeers();
     void handlePeerDatagram(std::span<const std::byte> datagram, const Endpoint& source);
     /// Sends what the decision code queued and sets the timer for its next deadline.
@@ -80,7 +83,9 @@
     HttpServer m_operators;
     HttpServer m_announce;
     EntryHost m_host;
+    std::unique_ptr<ConfigurationExchange> m_exchange;
     Timer m_timer;
+    TimePoint m_armedDeadline = noDeadline;
     std::unique_ptr<ReadWatch> m_fabricWatch;
     std::unique_ptr<ReadWatch> m_peerWatch;
 };
