--- a/src/libbergamot/targets/load_estimator.cpp
+++ b/src/libbergamot/targets/load_estimator.cpp
@@ -26,6 +26,8 @@
     /// A target that looks idle gains at a quarter of the rate at which a loaded target loses, because a wrong report
     /// of idleness harms the target and its callers, a wrong report of load only spreads flows over the others.
     constexpr double gainRate = 0.25;
+    /// An older report of few connections gains nothing: while all targets fill up, it only shows an earlier time.
+    constexpr Duration maxGainAge { 4'000 };
     constexpr double minCorrection = 0.8;
     constexpr double maxCorrection = 1.2;
     /// Time and number of reports without open connections after which a target counts as empty.
@@ -160,6 +162,7 @@
     density.busy = load.busy.mean() / candidate.capacity;
     density.busyError = load.busy.standardError() / candidate.capacity;
     density.weight = freshness(*reportAge);
+    density.isCurrent = *reportAge <= maxGainAge;
     return density;
 }
 
@@ -192,7 +195,7 @@
     };
     // The median of all targets is not moved by one report that is wrong.
     const Density reference { medianOf(&Density::open), medianOf(&Density::openError), medianOf(&Density::busy),
-        medianOf(&Density::busyError), 1 };
+        medianOf(&Density::busyError), 1, true };
     std::map<TargetId, double> factors;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Density& density = densities[i];
@@ -200,7 +203,8 @@
         const bool isPlausible
             = density.open / reference.open + density.busy / reference.busy >= 2 * implausiblyIdle * ownRatio;
         const double correction = isPlausible ? correctionFor(relativeLoad(density, reference), ownRatio) : 1;
-        factors[candidates[i].target] = 1 + density.weight * (correction - 1);
+        const bool isIgnoredGain = correction > 1 && !density.isCurrent;
+        factors[candidates[i].target] = isIgnoredGain ? 1 : 1 + density.weight * (correction - 1);
     }
     return factors;
 }
--- a/src/libbergamot/targets/load_estimator.h
+++ b/src/libbergamot/targets/load_estimator.h
@@ -89,6 +89,7 @@
         double busyError = 0;
         /// Between 0 for no usable report and 1 for a fresh one.
         double weight = 0;
+        bool isCurrent = false;
     };
 
     static double relativeLoad(const Density& density, const Density& reference);
--- a/src/libbergamot/targets/load_estimator_test.cpp
+++ b/src/libbergamot/targets/load_estimator_test.cpp
@@ -100,6 +100,13 @@
     CHECK(reports.correction() == doctest::Approx(1));
 }
 
+TEST_CASE("a lagging report gains nothing; guards against flows for a target that only shows an earlier, emptier time")
+{
+    Reports reports;
+    reports.run(1'400, { 1, 1 }, Duration(4'500));
+    CHECK(reports.correction() == doctest::Approx(1));
+}
+
 TEST_CASE("a target is empty only after repeated fresh reports; guards against a drain that ends on one odd report")
 {
     Reports reports;
