--- a/src/standins/backend/backend_server.cpp
+++ b/src/standins/backend/backend_server.cpp
@@ -85,7 +85,7 @@
         exchange->addHeader("Connection", "close");
 }
 
-void BackendServer::runInSlot(const Exchange& exchange, std::function<std::string()> work)
+void BackendServer::runInSlot(const Exchange& exchange, const std::function<std::string()>& work)
 {
     const std::uint64_t limit = number(exchange->header("Deadline-Ms"), 0);
     SlotJob job;
--- a/src/standins/backend/backend_server.h
+++ b/src/standins/backend/backend_server.h
@@ -67,7 +67,7 @@
 
     void addApplicationRoutes();
     void addPlatformRoutes();
-    void runInSlot(const Exchange& exchange, std::function<std::string()> work);
+    void runInSlot(const Exchange& exchange, const std::function<std::string()>& work);
     void startWork(const Exchange& exchange, const std::function<std::string()>& work, std::uint64_t id);
     std::string recordOrder(const std::string& identity);
     void startFeed(const Exchange& exchange);
--- a/src/standins/load/load_run.cpp
+++ b/src/standins/load/load_run.cpp
@@ -3,6 +3,7 @@
 #include "standins/common/traffic_identity.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bergamotroute {
@@ -152,7 +153,7 @@
     for (const prometheus::MetricFamily& family : m_registry.Collect()) {
         for (const prometheus::ClientMetric& metric : family.metric) {
             for (const auto& quantile : metric.summary.quantile)
-                result["p" + std::to_string(static_cast<int>(quantile.quantile * 100 + 0.5))]
+                result["p" + std::to_string(std::lround(quantile.quantile * 100))]
                     = quantile.value * millisecondsPerSecond;
         }
     }
