Carry control messages of up to 65,507 bytes between entry hosts

The peer socket refused datagrams over 4,096 bytes. With 14 targets the table update is larger, so eight of nine entry hosts stayed in state joining and a drain had no effect.

--- a/src/libbergamotio/udp_socket.cpp
+++ b/src/libbergamotio/udp_socket.cpp
@@ -19,26 +19,31 @@
 
 /// Buffers and headers of one recvmmsg or sendmmsg call.
 struct UdpSocket::Batch {
-    Batch()
+    explicit Batch(std::size_t datagramBytes)
+        : bytes(std::make_unique_for_overwrite<std::byte[]>(batchSize * datagramBytes))
     {
         for (std::size_t i = 0; i < batchSize; ++i) {
-            vectors[i] = { buffers[i].data(), datagramBytes };
+            vectors[i] = { bytes.get() + i * datagramBytes, datagramBytes };
             messages[i].msg_hdr.msg_iov = &vectors[i];
             messages[i].msg_hdr.msg_iovlen = 1;
             messages[i].msg_hdr.msg_name = &addresses[i];
         }
     }
 
-    std::array<std::array<std::byte, datagramBytes>, batchSize> buffers;
+    std::byte* buffer(std::size_t slot) const { return static_cast<std::byte*>(vectors[slot].iov_base); }
+
+    /// Not initialised, so that pages of unused buffer space cost no memory.
+    std::unique_ptr<std::byte[]> bytes;
     std::array<iovec, batchSize> vectors {};
     std::array<sockaddr_storage, batchSize> addresses {};
     std::array<mmsghdr, batchSize> messages {};
     std::size_t count = 0;
 };
 
-UdpSocket::UdpSocket()
-    : m_received(std::make_unique<Batch>())
-    , m_sent(std::make_unique<Batch>())
+UdpSocket::UdpSocket(std::size_t datagramBytes)
+    : m_datagramBytes(datagramBytes)
+    , m_received(std::make_unique<Batch>(datagramBytes))
+    , m_sent(std::make_unique<Batch>(datagramBytes))
 {
 }
 
@@ -69,7 +74,7 @@
         return 0;
     const auto received = static_cast<std::size_t>(count);
     for (std::size_t i = 0; i < received; ++i) {
-        const std::span<const std::byte> payload(m_received->buffers[i].data(), m_received->messages[i].msg_len);
+        const std::span<const std::byte> payload(m_received->buffer(i), m_received->messages[i].msg_len);
         handler(payload, toEndpoint(m_received->addresses[i]));
     }
     return received;
@@ -77,7 +82,7 @@
 
 void UdpSocket::queue(const Endpoint& target, std::span<const std::byte> header, std::span<const std::byte> payload)
 {
-    if (header.size() + payload.size() > datagramBytes || target.address.isV4() != m_isV4) {
+    if (header.size() + payload.size() > m_datagramBytes || target.address.isV4() != m_isV4) {
         ++m_sendErrors;
         return;
     }
@@ -85,7 +90,7 @@
     const SocketAddress address = toSocketAddress(target);
     std::memcpy(&m_sent->addresses[slot], &address.storage, address.length);
     m_sent->messages[slot].msg_hdr.msg_namelen = address.length;
-    std::byte* buffer = m_sent->buffers[slot].data();
+    std::byte* buffer = m_sent->buffer(slot);
     if (!header.empty())
         std::memcpy(buffer, header.data(), header.size());
     std::memcpy(buffer + header.size(), payload.data(), payload.size());
--- a/src/libbergamotio/udp_socket.h
+++ b/src/libbergamotio/udp_socket.h
@@ -19,12 +19,15 @@
 public:
     /// Datagrams a system call.
     static constexpr std::size_t batchSize = 64;
-    /// Largest datagram; an inner packet of a 1,500-byte link and a relay header fit with room to spare.
-    static constexpr std::size_t datagramBytes = 4096;
+    /// Default largest datagram; an inner packet of a 1,500-byte link and a relay header fit with room to spare.
+    static constexpr std::size_t packetBytes = 4096;
+    /// Largest datagram that UDP over IPv4 carries; a table update for 1,024 buckets needs more than packetBytes.
+    static constexpr std::size_t messageBytes = 65'507;
 
     using Handler = std::function<void(std::span<const std::byte> payload, const Endpoint& source)>;
 
-    UdpSocket();
+    /// @param datagramBytes largest datagram to receive or send.
+    explicit UdpSocket(std::size_t datagramBytes = packetBytes);
     ~UdpSocket();
     UdpSocket(const UdpSocket&) = delete;
     UdpSocket& operator=(const UdpSocket&) = delete;
@@ -55,6 +58,7 @@
 private:
     struct Batch;
 
+    std::size_t m_datagramBytes;
     int m_descriptor = -1;
     bool m_isV4 = true;
     std::uint64_t m_sendErrors = 0;
--- a/src/libbergamotio/udp_socket_test.cpp
+++ b/src/libbergamotio/udp_socket_test.cpp
@@ -33,3 +33,25 @@
         CHECK(seen[i] == std::to_string(i));
     CHECK(sender.sendErrors() == 0);
 }
+
+TEST_CASE("a socket for messages carries datagrams larger than a packet")
+{
+    // Guards against table updates that the peer socket refuses: with 14 targets eight of nine entry hosts never became
+    // ready, because the table did not fit into 4,096 bytes.
+    std::error_code error;
+    UdpSocket sender(UdpSocket::messageBytes);
+    UdpSocket receiver(UdpSocket::messageBytes);
+    REQUIRE_FALSE(sender.open(Endpoint::parse("127.0.0.1:0", error)));
+    REQUIRE_FALSE(receiver.open(Endpoint::parse("127.0.0.1:0", error)));
+    const std::vector<std::byte> message(UdpSocket::messageBytes, std::byte { 3 });
+    sender.queue(receiver.local(), {}, message);
+    sender.flush();
+    std::size_t size = 0;
+    receiver.receive([&](std::span<const std::byte> payload, const Endpoint&) { size = payload.size(); });
+    CHECK(size == message.size());
+    CHECK(sender.sendErrors() == 0);
+    UdpSocket packets;
+    REQUIRE_FALSE(packets.open(Endpoint::parse("127.0.0.1:0", error)));
+    packets.queue(receiver.local(), {}, message);
+    CHECK(packets.sendErrors() == 1);
+}
