Add power loss, slow disks and late messages to the random histories

Trials on altered code: without the log check in votes, with the leader's own unsynced entries counted, and with answers before the sync, the test fails.

--- a/src/libbergamot/quorum/quorum_history_test.cpp
+++ b/src/libbergamot/quorum/quorum_history_test.cpp
@@ -21,17 +21,14 @@
         : m_quorum(count, seed)
         , m_random(seed * 31 + count)
     {
-        m_quorum.lossPercent = 5;
         m_quorum.repeatPercent = 5;
-        m_quorum.syncPercent = 60;
-        m_quorum.maxDelaySteps = 6;
     }
 
     void run(int steps)
     {
         for (int i = 0; i < steps; ++i) {
             injectFault();
-            if (chance(8))
+            if (chance(20))
                 sendCommand();
             m_quorum.step();
             collectAnswers();
@@ -52,20 +49,49 @@
 
     Member& randomMember() { return *m_quorum.members[m_random() % m_quorum.members.size()]; }
 
+    /// Slow disks and networks for a while make unsynced records and late messages likely.
+    void changeConditions()
+    {
+        static constexpr unsigned syncChoices[] = { 5, 20, 100 };
+        static constexpr unsigned delayChoices[] = { 0, 6, 40 };
+        static constexpr unsigned lossChoices[] = { 0, 5, 30 };
+        m_quorum.syncPercent = syncChoices[m_random() % 3];
+        m_quorum.maxDelaySteps = delayChoices[m_random() % 3];
+        m_quorum.lossPercent = lossChoices[m_random() % 3];
+    }
+
+    /// Crashes each member with a probability of a half, as a loss of power does.
+    void losePower()
+    {
+        for (const auto& member : m_quorum.members) {
+            if (chance(50))
+                member->crash();
+        }
+    }
+
+    void startAll()
+    {
+        for (const auto& member : m_quorum.members) {
+            if (!member->log)
+                member->start();
+        }
+    }
+
     void injectFault()
     {
-        const unsigned choice = static_cast<unsigned>(m_random() % 1000);
-        if (choice < 4) {
+        const auto choice = static_cast<unsigned>(m_random() % 1000);
+        if (choice < 2)
+            losePower();
+        else if (choice < 5)
             randomMember().crash();
-        } else if (choice < 14) {
-            Member& member = randomMember();
-            if (!member.log)
-                member.start();
-        } else if (choice < 18) {
+        else if (choice < 15)
+            startAll();
+        else if (choice < 19)
             m_quorum.isolate(randomMember().identity);
-        } else if (choice < 24) {
+        else if (choice < 25)
             m_quorum.heal();
-        }
+        else if (choice < 30)
+            changeConditions();
     }
 
     void sendCommand()
@@ -113,10 +139,8 @@
         m_quorum.heal();
         m_quorum.lossPercent = 0;
         m_quorum.syncPercent = 100;
-        for (const auto& member : m_quorum.members) {
-            if (!member->log)
-                member->start();
-        }
+        m_quorum.maxDelaySteps = 1;
+        startAll();
         m_quorum.run(Duration(8000));
         collectAnswers();
     }
