Test members, leases, storage and RPC; tell removed members of their removal

A removed follower did not get the entry of its removal when the others had committed it before; the leader's last message to it now carries that entry.

--- a/src/libbergamot/quorum/commands.cpp
+++ b/src/libbergamot/quorum/commands.cpp
@@ -152,14 +152,8 @@
 
 void QuorumLog::Implementation::afterMemberChange(const schema::LogEntry& entry, TimePoint now)
 {
-    // Removed members learn of the commit with one last heartbeat.
-    if (role == QuorumRole::Leader) {
-        sendHeartbeats(now);
-        std::erase_if(progress, [this](const auto& item) {
-            return std::none_of(members.begin(), members.end(),
-                [&item](const schema::ControlMember& member) { return member.identity() == item.first; });
-        });
-    }
+    if (role == QuorumRole::Leader)
+        dismissRemovedMembers(now);
     const schema::Change& change = entry.command().changes(0);
     const bool removesSelf = change.change_case() == schema::Change::kRemoveControlMember
         && change.remove_control_member() == options.identity;
@@ -170,6 +164,21 @@
     stop(ResultCode::IdentityRetired, "this member was removed");
 }
 
+void QuorumLog::Implementation::dismissRemovedMembers(TimePoint now)
+{
+    for (const std::string& identity : progressIdentities()) {
+        const bool remains = std::any_of(members.begin(), members.end(),
+            [&identity](const schema::ControlMember& member) { return member.identity() == identity; });
+        if (remains)
+            continue;
+        // The last message carries the removal and its commit, so that a removed member that is reachable retires.
+        Progress& state = progress[identity];
+        if (state.next > window.baseIndex())
+            sendAppend(identity, state, true, now);
+        progress.erase(identity);
+    }
+}
+
 void QuorumLog::Implementation::takeSnapshotIfDue()
 {
     const std::uint64_t previous = newestSnapshot ? newestSnapshot->last_index() : 0;
--- /dev/null
+++ b/src/libbergamot/quorum/quorum_members_test.cpp
@@ -0,0 +1,161 @@
+#include "quorum/quorum_test_support.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+using namespace bergamotroute::test;
+
+namespace {
+
+schema::Command memberCommand(const std::string& requestId)
+{
+    schema::Command command;
+    command.set_request_id(requestId);
+    command.add_changes();
+    return command;
+}
+
+schema::Command addMember(const std::string& requestId, const std::string& identity)
+{
+    schema::Command command = memberCommand(requestId);
+    schema::ControlMember& member = *command.mutable_changes(0)->mutable_add_control_member();
+    member.set_identity(identity);
+    member.set_host(identity);
+    member.set_rpc_endpoint("127.0.0.1:2000");
+    return command;
+}
+
+schema::Command promote(const std::string& requestId, const std::string& identity)
+{
+    schema::Command command = memberCommand(requestId);
+    command.mutable_changes(0)->set_promote_control_member(identity);
+    return command;
+}
+
+schema::Command removal(const std::string& requestId, const std::string& identity)
+{
+    schema::Command command = memberCommand(requestId);
+    command.mutable_changes(0)->set_remove_control_member(identity);
+    return command;
+}
+
+std::uint32_t number(ResultCode code) { return static_cast<std::uint32_t>(code); }
+
+}
+
+// Guards against a replaced disk that votes again as its former self: with one old member left there is no majority.
+TEST_CASE("a replaced disk never votes as its former self")
+{
+    TestQuorum quorum(3, 1);
+    CHECK(quorum.decide(makeCommand("a", "10.0.0.1")).outcome() == schema::OUTCOME_ACCEPTED);
+    quorum.members[1]->crash();
+    quorum.members[2]->crash();
+    quorum.members[1]->identity = "m1-new";
+    quorum.members[1]->disk = {};
+    quorum.members[1]->start();
+    quorum.run(Duration(10'000));
+    CHECK(quorum.leader() == nullptr);
+    CHECK_FALSE(quorum.members[1]->log->isFormed());
+}
+
+// Guards against a new member that votes before it has the log, and against two member changes at once.
+TEST_CASE("a new member learns first, then votes")
+{
+    TestQuorum quorum(3, 2);
+    CHECK(quorum.decide(addMember("add", "m3")).outcome() == schema::OUTCOME_ACCEPTED);
+    CHECK(quorum.decide(promote("early", "m3")).code() == number(ResultCode::MemberNotCaughtUp));
+    Member& added = quorum.add("m3");
+    quorum.run(Duration(2000));
+    CHECK(added.log->isFormed());
+    CHECK(added.log->dump(quorum.clock.now()).role() == "learner");
+    CHECK(quorum.decide(promote("early", "m3")).code() == number(ResultCode::MemberNotCaughtUp));
+    CHECK(quorum.decide(promote("late", "m3")).outcome() == schema::OUTCOME_ACCEPTED);
+    quorum.run(Duration(1000));
+    CHECK(added.log->dump(quorum.clock.now()).role() == "follower");
+    quorum.members[0]->crash();
+    quorum.members[1]->crash();
+    quorum.run(Duration(5000));
+    // Two of four voters are no majority.
+    CHECK(quorum.leader() == nullptr);
+}
+
+// Guards against a removal that leaves no majority, and against a removed member that takes part again after a restart.
+TEST_CASE("a removal keeps a majority and retires the member")
+{
+    TestQuorum quorum(3, 3);
+    CHECK(quorum.decide(makeCommand("a", "10.0.0.1")).outcome() == schema::OUTCOME_ACCEPTED);
+    Member* leader = quorum.leader();
+    REQUIRE(leader != nullptr);
+    Member& dead = *quorum.members[leader == quorum.members[2].get() ? 1 : 2];
+    dead.crash();
+    quorum.run(Duration(1000));
+    CHECK(quorum.decide(removal("alive", leader->identity)).code() == number(ResultCode::MajorityLoss));
+    dead.start();
+    quorum.run(Duration(1000));
+    CHECK(quorum.decide(removal("remove", dead.identity)).outcome() == schema::OUTCOME_ACCEPTED);
+    quorum.run(Duration(500));
+    CHECK(dead.log->role() == QuorumRole::Stopped);
+    dead.crash();
+    dead.start();
+    CHECK(dead.log->role() == QuorumRole::Stopped);
+    CHECK(std::count(dead.events.begin(), dead.events.end(), ResultCode::IdentityRetired) == 2);
+    CHECK(quorum.decide(makeCommand("b", "10.0.0.2")).outcome() == schema::OUTCOME_ACCEPTED);
+}
+
+// Guards against an answer "accepted" from a host whose disk failed.
+TEST_CASE("a failed sync stops accepting and keeps reads")
+{
+    TestQuorum quorum(3, 4);
+    CHECK(quorum.decide(makeCommand("a", "10.0.0.1")).outcome() == schema::OUTCOME_ACCEPTED);
+    Member* failing = quorum.leader();
+    REQUIRE(failing != nullptr);
+    const std::uint64_t token = quorum.command(*failing, makeCommand("b", "10.0.0.2"));
+    failing->sync(false);
+    CHECK(failing->answers[token].outcome() == schema::OUTCOME_UNKNOWN);
+    const std::uint64_t later = quorum.command(*failing, makeCommand("c", "10.0.0.3"));
+    CHECK(failing->answers[later].code() == number(ResultCode::StorageFailed));
+    CHECK(failing->log->configuration().backends_size() == 1);
+    CHECK(quorum.decide(makeCommand("d", "10.0.0.4")).outcome() == schema::OUTCOME_ACCEPTED);
+    CHECK(quorum.leader() != failing);
+}
+
+// Guards against a leader on the far side of a partition that goes on answering as if it were current.
+TEST_CASE("a cut-off leader loses its lease before another leads")
+{
+    TestQuorum quorum(3, 5);
+    CHECK(quorum.decide(makeCommand("a", "10.0.0.1")).outcome() == schema::OUTCOME_ACCEPTED);
+    Member* old = quorum.leader();
+    REQUIRE(old != nullptr);
+    quorum.isolate(old->identity);
+    const std::uint64_t token = quorum.command(*old, makeCommand("b", "10.0.0.2"));
+    for (int step = 0; step < 500; ++step) {
+        quorum.step();
+        REQUIRE(quorum.leaseCount() <= 1);
+    }
+    CHECK_FALSE(old->log->isLeaseValid(quorum.clock.now()));
+    CHECK(old->answers[token].outcome() == schema::OUTCOME_UNKNOWN);
+    const std::uint64_t refused = quorum.command(*old, makeCommand("c", "10.0.0.3"));
+    CHECK(old->answers[refused].outcome() == schema::OUTCOME_UNKNOWN);
+    CHECK(quorum.leader() != nullptr);
+}
+
+// Guards against answers that are forgotten with a snapshot or a restart.
+TEST_CASE("answers survive snapshots and restarts")
+{
+    TestQuorum quorum(3, 6);
+    const schema::CommandResult first = quorum.decide(makeCommand("first", "10.0.0.1"));
+    schema::Command stale = makeCommand("stale", "10.0.0.2");
+    stale.set_expect_revision(first.revision() + 1000);
+    const schema::CommandResult refused = quorum.decide(stale);
+    CHECK(refused.code() == number(ResultCode::RevisionStale));
+    for (int i = 0; i < 50; ++i)
+        CHECK(quorum.decide(makeCommand("more" + std::to_string(i), "10.0.1." + std::to_string(i))).code() == 0);
+    for (const auto& member : quorum.members) {
+        REQUIRE(member->disk.snapshot.has_value());
+        member->crash();
+        member->start();
+    }
+    CHECK(quorum.decide(makeCommand("first", "10.0.0.1")).SerializeAsString() == first.SerializeAsString());
+    CHECK(quorum.decide(stale).SerializeAsString() == refused.SerializeAsString());
+    CHECK(quorum.decide(makeCommand("first", "10.0.0.9")).code() == number(ResultCode::RequestIdReused));
+}
--- a/src/libbergamot/quorum/quorum_state.h
+++ b/src/libbergamot/quorum/quorum_state.h
@@ -118,6 +118,7 @@
     void commitUpTo(std::uint64_t index, TimePoint now);
     void applyEntry(const schema::LogEntry& entry, TimePoint now);
     void afterMemberChange(const schema::LogEntry& entry, TimePoint now);
+    void dismissRemovedMembers(TimePoint now);
     void takeSnapshotIfDue();
     void answerUnknown(std::uint64_t token, const std::string& requestId, ResultCode code, std::string_view message);
     void expireAnswers(TimePoint now);
