--- a/src/libbergamotio/rpc_client.cpp
+++ b/src/libbergamotio/rpc_client.cpp
@@ -43,7 +43,7 @@
     m_state = State::Connecting;
     bufferevent* stream = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     m_transport = std::make_unique<Http2Transport>(stream, Http2Side::Client, *this);
-    const SocketAddress address = makeSocketAddress(m_endpoint);
+    const SocketAddress address = toSocketAddress(m_endpoint);
     // A connection that opens neither nor fails is closed by the probe timer.
     m_probeOpen = true;
     m_probeTimer.start(m_options.probeTimeout);
--- a/src/libbergamotio/rpc_server.cpp
+++ b/src/libbergamotio/rpc_server.cpp
@@ -110,13 +110,13 @@
 std::error_code RpcServer::listen(const Endpoint& endpoint)
 {
     constexpr int backlog = 128;
-    const SocketAddress address = makeSocketAddress(endpoint);
+    const SocketAddress address = toSocketAddress(endpoint);
     m_listener = evconnlistener_new_bind(m_loop.base(), RpcServerCallbacks::onAccept, this,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, backlog, address.get(),
         static_cast<int>(address.length));
     if (!m_listener)
         return ResultCode::AddressUnavailable;
-    m_port = localPort(evconnlistener_get_fd(m_listener));
+    m_port = localEndpoint(evconnlistener_get_fd(m_listener)).port;
     return {};
 }
 
--- a/src/libbergamotio/socket_address.h
+++ b/src/libbergamotio/socket_address.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Socket addresses of the system made from endpoints.
+/// Conversion between endpoints and the socket addresses of the C library.
 
 #include "bergamotroute/types.h"
 
@@ -17,10 +17,13 @@
     const sockaddr* get() const { return reinterpret_cast<const sockaddr*>(&storage); }
 };
 
-/// @return the IPv4 or IPv6 socket address of an endpoint.
-SocketAddress makeSocketAddress(const Endpoint& endpoint);
+/// @return an IPv4 or IPv6 socket address, by the family of the endpoint.
+SocketAddress toSocketAddress(const Endpoint& endpoint);
 
-/// @return the local port of a bound socket, or zero.
-std::uint16_t localPort(int descriptor);
+/// @return the endpoint of a socket address; a zero endpoint for another family.
+Endpoint toEndpoint(const sockaddr_storage& storage);
+
+/// @return the local endpoint of a socket.
+Endpoint localEndpoint(int descriptor);
 
 }
