--- a/src/libbergamotio/rpc_test.cpp
+++ b/src/libbergamotio/rpc_test.cpp
@@ -66,10 +66,10 @@
     EventLoop loop;
     // The kernel accepts the connection; no process reads it.
     const int silent = ::socket(AF_INET, SOCK_STREAM, 0);
-    const SocketAddress address = makeSocketAddress(loopback(0));
+    const SocketAddress address = toSocketAddress(loopback(0));
     REQUIRE(::bind(silent, address.get(), address.length) == 0);
     REQUIRE(::listen(silent, 8) == 0);
-    const std::uint16_t port = localPort(silent);
+    const std::uint16_t port = localEndpoint(silent).port;
     RpcClientOptions options;
     options.probeInterval = Duration(20);
     options.probeTimeout = Duration(50);
