--- a/src/bergamot-control/control_daemon.cpp
+++ b/src/bergamot-control/control_daemon.cpp
@@ -43,6 +43,7 @@
     , m_settings(std::move(settings))
     , m_links(loop, m_settings.rpc_listen())
     , m_rpc(loop)
+    , m_http(loop)
     , m_watchers(loop)
     , m_syncTimer(loop, [this] { syncStorage(); })
     , m_advanceTimer(loop, [this] { advance(); })
@@ -92,16 +93,16 @@
         "/rpc/control", [this](const std::string& body, const RpcReply& reply) { handleControlCall(body, reply); });
     m_rpc.handle("/rpc/configuration",
         [this](const std::string& body, const RpcReply& reply) { handleConfigurationCall(body, reply); });
-    std::string token;
-    if (error = readToken(m_settings.operators().token_file(), token); error) {
-        writeLog(LogLevel::Error, ResultCode::SettingsUnreadable,
-            "cannot read the token file " + m_settings.operators().token_file());
+    const std::string& tokenFile = m_settings.operators().token_file();
+    if (!tokenFile.empty())
+        m_http.setToken(readToken(tokenFile, error));
+    if (error) {
+        writeLog(LogLevel::Error, ResultCode::SettingsUnreadable, "cannot read the token file " + tokenFile);
         return error;
     }
-    m_http = std::make_unique<OperatorHttp>(m_loop, token);
     setRoutes();
     const Endpoint operators = Endpoint::parse(m_settings.operators().listen(), error);
-    if (error || (error = m_http->listen(operators)))
+    if (error || (error = m_http.listen(operators)))
         writeLog(
             LogLevel::Error, ResultCode::AddressUnavailable, "cannot listen on " + m_settings.operators().listen());
     return error;
--- a/src/bergamot-control/control_daemon.h
+++ b/src/bergamot-control/control_daemon.h
@@ -3,13 +3,13 @@
 /// @file
 /// The control host: connects the quorum log with storage, peers and operators.
 
-#include "operator_http.h"
 #include "peer_links.h"
 #include "revision_watchers.h"
 
 #include "bergamotroute/quorum_bootstrap.h"
 #include "bergamotroute/quorum_log.h"
 #include "libbergamotio/event_loop.h"
+#include "libbergamotio/http_server.h"
 #include "libbergamotio/log_storage.h"
 #include "libbergamotio/rpc_server.h"
 
@@ -38,6 +38,8 @@
     void logState();
 
 private:
+    using ExchangePointer = std::shared_ptr<HttpExchange>;
+
     // QuorumSink
     void persist(const PersistRequest& request) override;
     void send(const schema::ControlMessage& message) override;
@@ -58,12 +60,12 @@
     void handleConfigurationCall(const std::string& body, const RpcReply& reply);
     void sendConfiguration(const RpcReply& reply, std::uint64_t haveRevision);
 
-    void handleCommand(const HttpExchange& exchange);
-    void handleConfiguration(const HttpExchange& exchange);
-    void handleRequest(const HttpExchange& exchange);
-    void handleHistory(const HttpExchange& exchange);
-    void handleWatch(const HttpExchange& exchange);
-    void handleHealth(const HttpExchange& exchange);
+    void handleCommand(const ExchangePointer& exchange);
+    void handleConfiguration(const ExchangePointer& exchange);
+    void handleRequest(const ExchangePointer& exchange);
+    void handleHistory(const ExchangePointer& exchange);
+    void handleWatch(const ExchangePointer& exchange);
+    void handleHealth(const ExchangePointer& exchange);
     std::string metrics();
 
     EventLoop& m_loop;
@@ -72,11 +74,11 @@
     std::string m_identity;
     PeerLinks m_links;
     RpcServer m_rpc;
-    std::unique_ptr<OperatorHttp> m_http;
+    HttpServer m_http;
     RevisionWatchers m_watchers;
     std::unique_ptr<QuorumLog> m_log;
     std::optional<QuorumBootstrap> m_bootstrap;
-    std::map<std::uint64_t, HttpExchange> m_commands;
+    std::map<std::uint64_t, ExchangePointer> m_commands;
     std::uint64_t m_nextToken = 1;
     std::uint64_t m_lastPersist = 0;
     bool m_revisionChanged = false;
--- a/src/bergamot-control/operator_routes.cpp
+++ b/src/bergamot-control/operator_routes.cpp
@@ -12,13 +12,8 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusNotFound = 404;
-    constexpr int statusNotAccepted = 409;
-    constexpr int statusUnavailable = 503;
-    constexpr int statusUnknown = 504;
     constexpr Duration watchWait { 20'000 };
+    constexpr const char* jsonType = "application/json";
     constexpr const char* leaseHeader = "Bergamot-Lease";
 
     /// Codes of an attempt that was not entered into the log.
@@ -29,13 +24,13 @@
             || result == ResultCode::IdentityRetired;
     }
 
-    int statusOf(const schema::CommandResult& result)
+    HttpStatus statusOf(const schema::CommandResult& result)
     {
         if (result.outcome() == schema::OUTCOME_ACCEPTED)
-            return statusOk;
+            return HttpStatus::Ok;
         if (result.outcome() == schema::OUTCOME_NOT_ACCEPTED)
-            return statusNotAccepted;
-        return isUnavailable(result.code()) ? statusUnavailable : statusUnknown;
+            return HttpStatus::Conflict;
+        return isUnavailable(result.code()) ? HttpStatus::ServiceUnavailable : HttpStatus::GatewayTimeout;
     }
 
     std::uint64_t toNumber(const std::string& text)
@@ -49,28 +44,31 @@
 
 void ControlDaemon::setRoutes()
 {
-    const auto add = [this](const char* method, const char* path, bool isPublic, auto handler) {
-        m_http->route(
-            method, path, isPublic, [this, handler](const HttpExchange& exchange) { (this->*handler)(exchange); });
+    const auto add = [this](const char* method, const char* path, HttpAccess access, auto handler) {
+        m_http.route(
+            method, path, access, [this, handler](const ExchangePointer& exchange) { (this->*handler)(exchange); });
     };
-    add("POST", "/v1/command", false, &ControlDaemon::handleCommand);
-    add("GET", "/v1/configuration", false, &ControlDaemon::handleConfiguration);
-    add("GET", "/v1/request", false, &ControlDaemon::handleRequest);
-    add("GET", "/v1/history", false, &ControlDaemon::handleHistory);
-    add("GET", "/v1/watch", false, &ControlDaemon::handleWatch);
-    add("GET", "/v1/health", true, &ControlDaemon::handleHealth);
-    m_http->route("GET", "/v1/state", false,
-        [this](const HttpExchange& exchange) { exchange.reply(statusOk, toJson(m_log->dump(m_loop.now()), false)); });
-    m_http->route("GET", "/metrics", true,
-        [this](const HttpExchange& exchange) { exchange.reply(statusOk, metrics(), "text/plain; version=0.0.4"); });
+    add("POST", "/v1/command", HttpAccess::Token, &ControlDaemon::handleCommand);
+    add("GET", "/v1/configuration", HttpAccess::Token, &ControlDaemon::handleConfiguration);
+    add("GET", "/v1/request", HttpAccess::Token, &ControlDaemon::handleRequest);
+    add("GET", "/v1/history", HttpAccess::Token, &ControlDaemon::handleHistory);
+    add("GET", "/v1/watch", HttpAccess::Token, &ControlDaemon::handleWatch);
+    add("GET", "/v1/health", HttpAccess::Open, &ControlDaemon::handleHealth);
+    m_http.route("GET", "/v1/state", HttpAccess::Token, [this](const ExchangePointer& exchange) {
+        exchange->reply(HttpStatus::Ok, toJson(m_log->dump(m_loop.now()), false), jsonType);
+    });
+    m_http.route("GET", "/metrics", HttpAccess::Open, [this](const ExchangePointer& exchange) {
+        exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
+    });
 }
 
-void ControlDaemon::handleCommand(const HttpExchange& exchange)
+void ControlDaemon::handleCommand(const ExchangePointer& exchange)
 {
     schema::Command command;
-    if (const InputError error = parseJsonMessage(exchange.body(), "body", command)) {
+    if (const InputError error = parseJsonMessage(exchange->body(), "body", command)) {
         ++m_refusedCommands;
-        exchange.reply(statusBadRequest, toJson(refusal({}, ResultCode::CommandMalformed, error.message, 0), false));
+        exchange->reply(HttpStatus::BadRequest,
+            toJson(refusal({}, ResultCode::CommandMalformed, error.message, 0), false), jsonType);
         return;
     }
     const std::uint64_t token = m_nextToken++;
@@ -84,56 +82,58 @@
     const auto command = m_commands.find(token);
     if (command == m_commands.end())
         return;
-    const HttpExchange exchange = command->second;
+    const ExchangePointer exchange = command->second;
     m_commands.erase(command);
-    const int status = statusOf(result);
-    ++(status == statusOk ? m_acceptedCommands : status == statusNotAccepted ? m_refusedCommands : m_unknownCommands);
-    exchange.reply(status, toJson(result, false));
+    const HttpStatus status = statusOf(result);
+    ++(status == HttpStatus::Ok              ? m_acceptedCommands
+            : status == HttpStatus::Conflict ? m_refusedCommands
+                                             : m_unknownCommands);
+    exchange->reply(status, toJson(result, false), jsonType);
 }
 
-void ControlDaemon::handleConfiguration(const HttpExchange& exchange)
+void ControlDaemon::handleConfiguration(const ExchangePointer& exchange)
 {
     const bool valid = m_log->isLeaseValid(m_loop.now());
-    if (!valid && exchange.query("stale") != "1") {
+    if (!valid && exchange->query("stale") != "1") {
         const std::string text = "the lease is not valid here; leader: " + m_log->leader();
-        exchange.reply(statusUnavailable,
-            toJson(refusal({}, ResultCode::LeaseExpired, text, m_log->configuration().revision()), false));
+        exchange->reply(HttpStatus::ServiceUnavailable,
+            toJson(refusal({}, ResultCode::LeaseExpired, text, m_log->configuration().revision()), false), jsonType);
         return;
     }
-    exchange.setHeader(leaseHeader, valid ? "valid" : "expired");
-    exchange.reply(statusOk, toJson(m_log->configuration(), false));
+    exchange->addHeader(leaseHeader, valid ? "valid" : "expired");
+    exchange->reply(HttpStatus::Ok, toJson(m_log->configuration(), false), jsonType);
 }
 
-void ControlDaemon::handleRequest(const HttpExchange& exchange)
+void ControlDaemon::handleRequest(const ExchangePointer& exchange)
 {
-    const std::string id = exchange.query("id");
+    const std::string id = exchange->query("id");
     if (const schema::RememberedResult* known = m_log->findResult(id)) {
-        exchange.reply(statusOk, toJson(known->result(), false));
+        exchange->reply(HttpStatus::Ok, toJson(known->result(), false), jsonType);
         return;
     }
     schema::CommandResult unknown = refusal(
         id, ResultCode::UnknownRequest, "not remembered on this control host", m_log->configuration().revision());
     unknown.set_outcome(schema::OUTCOME_UNKNOWN);
-    exchange.reply(statusNotFound, toJson(unknown, false));
+    exchange->reply(HttpStatus::NotFound, toJson(unknown, false), jsonType);
 }
 
-void ControlDaemon::handleHistory(const HttpExchange& exchange)
+void ControlDaemon::handleHistory(const ExchangePointer& exchange)
 {
     std::string body = "{\"entries\":[";
     const char* separator = "";
-    for (const schema::LogEntry& entry : m_log->history(toNumber(exchange.query("since")))) {
+    for (const schema::LogEntry& entry : m_log->history(toNumber(exchange->query("since")))) {
         body += separator + toJson(entry, false);
         separator = ",";
     }
-    exchange.reply(statusOk, body + "]}");
+    exchange->reply(HttpStatus::Ok, body + "]}", jsonType);
 }
 
-void ControlDaemon::handleWatch(const HttpExchange& exchange)
+void ControlDaemon::handleWatch(const ExchangePointer& exchange)
 {
-    const std::uint64_t since = toNumber(exchange.query("since"));
+    const std::uint64_t since = toNumber(exchange->query("since"));
     const auto sendCurrent = [this, exchange] {
-        exchange.setHeader(leaseHeader, m_log->isLeaseValid(m_loop.now()) ? "valid" : "expired");
-        exchange.reply(statusOk, toJson(m_log->configuration(), false));
+        exchange->addHeader(leaseHeader, m_log->isLeaseValid(m_loop.now()) ? "valid" : "expired");
+        exchange->reply(HttpStatus::Ok, toJson(m_log->configuration(), false), jsonType);
     };
     if (m_log->configuration().revision() > since)
         sendCurrent();
@@ -141,10 +141,11 @@
         m_watchers.add(since, watchWait, sendCurrent);
 }
 
-void ControlDaemon::handleHealth(const HttpExchange& exchange)
+void ControlDaemon::handleHealth(const ExchangePointer& exchange)
 {
     const bool ready = m_log->isFormed() && m_log->role() != QuorumRole::Stopped && !m_log->leader().empty();
-    exchange.reply(ready ? statusOk : statusUnavailable, ready ? "{\"status\":\"ok\"}" : "{\"status\":\"not ready\"}");
+    exchange->reply(ready ? HttpStatus::Ok : HttpStatus::ServiceUnavailable,
+        ready ? "{\"status\":\"ok\"}" : "{\"status\":\"not ready\"}", jsonType);
 }
 
 std::string ControlDaemon::metrics()
@@ -178,7 +179,6 @@
     counter("messages_sent_total", "Messages sent to control hosts.", m_links.sentMessages());
     counter("messages_failed_total", "Messages to control hosts that were not delivered.", m_links.failedMessages());
     counter("probes_failed_total", "Connections closed because a probe had no answer.", m_links.failedProbes());
-    counter("unauthorized_requests_total", "Requests with an absent or wrong token.", m_http->unauthorizedRequests());
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
