--- a/src/bergamotctl/observe_commands.cpp
+++ b/src/bergamotctl/observe_commands.cpp
@@ -75,7 +75,7 @@
 ExitStatus runHistory(Session& session, Arguments)
 {
     std::string fault;
-    const auto answer = session.askControl("/v1/history?since=" + std::to_string(FLAGS_since), {}, fault);
+    const auto answer = session.askLeaderFirst("/v1/history?since=" + std::to_string(FLAGS_since), fault);
     if (!answer) {
         session.err() << "the history cannot be read: " << fault << '\n';
         return session.lastFailure();
--- a/src/bergamotctl/session.cpp
+++ b/src/bergamotctl/session.cpp
@@ -172,6 +172,19 @@
     return std::nullopt;
 }
 
+std::optional<HttpAnswer> Session::askLeaderFirst(const std::string& path, std::string& fault)
+{
+    for (const ControlAnswer& host : readControlStates()) {
+        if (!host.isReachable || host.state.role() != "leader")
+            continue;
+        HttpAnswer answer = sendTo(host.endpoint, path);
+        if (answer.status == 200)
+            return answer;
+    }
+    m_err << "warning: no leader answers; the answer may be old\n";
+    return askControl(path, {}, fault);
+}
+
 std::optional<ConfigurationAnswer> Session::readConfiguration(bool allowStale)
 {
     if (m_simulated)
--- a/src/bergamotctl/session.h
+++ b/src/bergamotctl/session.h
@@ -88,6 +88,9 @@
     std::optional<HttpAnswer> askControl(
         const std::string& path, std::chrono::milliseconds timeout, std::string& fault);
 
+    /// Like askControl(), but asks the leader first, because followers are behind it.
+    std::optional<HttpAnswer> askLeaderFirst(const std::string& path, std::string& fault);
+
     std::vector<EntryAnswer> readEntryStates();
     std::vector<ControlAnswer> readControlStates();
 
