--- a/src/libbergamot/configuration/configuration_fetcher.cpp
+++ b/src/libbergamot/configuration/configuration_fetcher.cpp
@@ -77,8 +77,7 @@
         m_neighbourDue = std::min(m_neighbourDue, neighbour.aheadSince + m_options.neighbourDelay);
 }
 
-void ConfigurationFetcher::handleAnswer(
-    std::uint64_t id, const schema::ConfigurationAnswer& answer, TimePoint now)
+void ConfigurationFetcher::handleAnswer(std::uint64_t id, const schema::ConfigurationAnswer& answer, TimePoint now)
 {
     const bool isControl = id == m_controlRequest;
     if (!isControl && id != m_neighbourRequest)
@@ -141,8 +140,8 @@
 
 TimePoint ConfigurationFetcher::nextDeadline() const
 {
-    return std::min(m_controlRequest == 0 ? m_controlDue : noDeadline,
-        m_neighbourRequest == 0 ? m_neighbourDue : noDeadline);
+    return std::min(
+        m_controlRequest == 0 ? m_controlDue : noDeadline, m_neighbourRequest == 0 ? m_neighbourDue : noDeadline);
 }
 
 }
--- a/src/libbergamot/quorum/quorum_history_test.cpp
+++ b/src/libbergamot/quorum/quorum_history_test.cpp
@@ -78,7 +78,8 @@
         const std::string id = "r" + std::to_string(number);
         Request& request = m_requests[id];
         if (!resend) {
-            request.command = makeCommand(id, "10.0." + std::to_string(number / 250) + '.' + std::to_string(number % 250));
+            request.command
+                = makeCommand(id, "10.0." + std::to_string(number / 250) + '.' + std::to_string(number % 250));
             // A third of the commands compares the revision, some of them with a stale one.
             if (chance(33))
                 request.command.set_expect_revision(target->log->configuration().revision() - (chance(30) ? 1 : 0));
