--- a/src/bergamotctl/host_commands.cpp
+++ b/src/bergamotctl/host_commands.cpp
@@ -1,7 +1,6 @@
 // datacentre stop and start; host list, drain, ready and leave.
 
 #include "bergamotctl/commands.h"
-#include "bergamotctl/flags.h"
 #include "bergamotctl/table.h"
 #include "libbergamotio/json_schema.h"
 
@@ -52,25 +51,6 @@
         return submitChanges(session, answer->configuration, std::move(changes));
     }
 
-    /// Starts the graceful leave on the host itself, once the configuration says that it leaves.
-    ExitStatus tellToLeave(Session& session, const std::string& host)
-    {
-        for (const schema::OperatorEndpoint& entry : session.settings().entry_hosts()) {
-            if (entry.host() != host)
-                continue;
-            const HttpAnswer answer = session.sendTo(entry.endpoint(), "/v1/leave", true);
-            if (answer.status / 100 == 2)
-                return ExitStatus::Done;
-            session.err() << host << ": the leave cannot be started: "
-                          << (answer.status == 0 ? answer.error.message()
-                                                 : "HTTP status " + std::to_string(answer.status))
-                          << "; repeat the command\n";
-            return answer.status == 0 ? ExitStatus::NotReachable : ExitStatus::Failed;
-        }
-        session.err() << host << " is not among the entry hosts of the settings, so it was not told to leave\n";
-        return ExitStatus::NotReachable;
-    }
-
     std::string adminText(schema::HostAdminState state)
     {
         if (state == schema::HOST_DRAIN)
@@ -137,8 +117,7 @@
 
 ExitStatus runHostLeave(Session& session, Arguments arguments)
 {
-    const ExitStatus status = setHost(session, arguments[0], schema::HOST_LEAVE);
-    return status == ExitStatus::Done && !FLAGS_dry_run ? tellToLeave(session, arguments[0]) : status;
+    return setHost(session, arguments[0], schema::HOST_LEAVE);
 }
 
 ExitStatus runHostList(Session& session, Arguments)
--- a/src/standins/fakecontrol/main.cpp
+++ b/src/standins/fakecontrol/main.cpp
@@ -62,10 +62,8 @@
         {
             if (request.authorization != "Bearer " + FLAGS_token)
                 return { 401, "{}", "", false, false };
-            if (request.path == "/v1/leave") {
-                std::cerr << "leave of " << m_entry.host() << std::endl;
+            if (request.path == "/v1/leave")
                 return { 202, "{}", "", false, false };
-            }
             if (request.path != "/v1/state")
                 return { 404, "{}", "", false, false };
             schema::EntryHostState state = m_entry;
