--- a/src/libbergamot/quorum/commands.cpp
+++ b/src/libbergamot/quorum/commands.cpp
@@ -122,7 +122,8 @@
     persist(std::move(request));
     if (membersChanged) {
         refreshMembers();
-        rebuildProgress(now);
+        // A new member gets at least this entry; its answer tells where it really is.
+        rebuildProgress(window.lastIndex(), now);
     }
     replicateAll(now);
 }
--- a/src/libbergamot/quorum/election.cpp
+++ b/src/libbergamot/quorum/election.cpp
@@ -157,7 +157,7 @@
     schema::LogEntry first;
     first.set_time_ms(lastEntryTimeMs);
     termFirstIndex = window.lastIndex() + 1;
-    rebuildProgress(now);
+    rebuildProgress(termFirstIndex, now);
     appendEntries({ std::move(first) }, now);
     heartbeatDeadline = now + options.heartbeatInterval;
 }
--- a/src/libbergamot/quorum/quorum_members_test.cpp
+++ b/src/libbergamot/quorum/quorum_members_test.cpp
@@ -79,6 +79,18 @@
     CHECK(quorum.leader() == nullptr);
 }
 
+// Guards against a new member that stays empty until the next change, because nothing was left to send to it.
+TEST_CASE("a new member gets the state without a further change")
+{
+    TestQuorum quorum(3, 7);
+    CHECK(quorum.decide(makeCommand("a", "10.0.0.1")).outcome() == schema::OUTCOME_ACCEPTED);
+    Member& added = quorum.add("m3");
+    CHECK(quorum.decide(addMember("add", "m3")).outcome() == schema::OUTCOME_ACCEPTED);
+    quorum.run(Duration(2000));
+    CHECK(added.log->configuration().backends_size() == 1);
+    CHECK(added.log->configuration().control_members_size() == 4);
+}
+
 // Guards against a removal that leaves no majority, and against a removed member that takes part again after a restart.
 TEST_CASE("a removal keeps a majority and retires the member")
 {
--- a/src/libbergamot/quorum/quorum_state.h
+++ b/src/libbergamot/quorum/quorum_state.h
@@ -94,7 +94,8 @@
     TimePoint leaseStart(TimePoint now) const;
     bool isLeaseValid(TimePoint now) const;
     void checkLeaderContact(TimePoint now);
-    void rebuildProgress(TimePoint now);
+    /// @param next first entry to send to members that are new here.
+    void rebuildProgress(std::uint64_t next, TimePoint now);
     std::size_t reachableVoters(const std::vector<schema::ControlMember>& candidates, TimePoint now) const;
 
     // Follower.
--- a/src/libbergamot/quorum/quorum_test_support.h
+++ b/src/libbergamot/quorum/quorum_test_support.h
@@ -208,8 +208,8 @@
         return {};
     }
 
-    void isolate(const std::string& identity) { cutOff.insert(identity); }
-    void heal() { cutOff.clear(); }
+    void isolate(const std::string& identity) { m_cutOff.insert(identity); }
+    void heal() { m_cutOff.clear(); }
 
     static constexpr Duration stepTime { 10 };
     ManualClock clock;
@@ -235,7 +235,7 @@
             for (unsigned copy = 0; copy < copies; ++copy) {
                 const auto delay = stepTime * static_cast<Duration::rep>(random() % (maxDelaySteps + 1));
                 if (random() % 100 >= lossPercent)
-                    network.push_back({ clock.now() + delay, message });
+                    m_network.push_back({ clock.now() + delay, message });
             }
         }
         member.outbox.clear();
@@ -244,13 +244,13 @@
     void deliver()
     {
         std::vector<InFlight> waiting;
-        std::swap(waiting, network);
+        std::swap(waiting, m_network);
         for (const InFlight& item : waiting) {
             if (item.due > clock.now()) {
-                network.push_back(item);
+                m_network.push_back(item);
                 continue;
             }
-            const bool isCut = cutOff.contains(item.message.from()) != cutOff.contains(item.message.to());
+            const bool isCut = m_cutOff.contains(item.message.from()) != m_cutOff.contains(item.message.to());
             for (const auto& member : members) {
                 if (!isCut && member->log && member->identity == item.message.to())
                     member->log->handleMessage(item.message, clock.now());
@@ -258,8 +258,8 @@
         }
     }
 
-    std::set<std::string> cutOff;
-    std::vector<InFlight> network;
+    std::set<std::string> m_cutOff;
+    std::vector<InFlight> m_network;
 };
 
 }
--- a/src/libbergamot/quorum/replication.cpp
+++ b/src/libbergamot/quorum/replication.cpp
@@ -18,13 +18,13 @@
 
 }
 
-void QuorumLog::Implementation::rebuildProgress(TimePoint now)
+void QuorumLog::Implementation::rebuildProgress(std::uint64_t next, TimePoint now)
 {
     for (const schema::ControlMember& member : members) {
         if (member.identity() == options.identity || progress.contains(member.identity()))
             continue;
         Progress& added = progress[member.identity()];
-        added.next = window.lastIndex() + 1;
+        added.next = next;
         added.lastHeard = now;
     }
 }
