--- a/src/scenario/deployment.h
+++ b/src/scenario/deployment.h
@@ -91,6 +91,8 @@
         PlaceId place = 0;
         TargetId target = noTarget;
         std::uint32_t lastCode = 0;
+        /// Answer to the last announcement for another service; renewals do not replace it.
+        std::optional<std::uint32_t> otherServiceCode;
         SimTime renewal = 0;
         std::uint32_t announceGeneration = 0;
     };
@@ -106,7 +108,7 @@
     std::uint64_t newIncarnation();
     void scheduleTick();
     void renewAnnouncement(std::size_t backend);
-    void sendAnnouncement(std::size_t backend, const schema::Announcement& announcement);
+    void sendAnnouncement(std::size_t backend, const schema::Announcement& announcement, bool isForOther);
     schema::Announcement announcementOf(const BackendServer& backend) const;
     schema::LoadReport loadReport(BackendServer& backend);
     void answerCheck(PlaceId host, std::size_t backend);
--- a/src/scenario/deployment_backends.cpp
+++ b/src/scenario/deployment_backends.cpp
@@ -33,7 +33,7 @@
     return announcement;
 }
 
-void Deployment::sendAnnouncement(std::size_t backend, const schema::Announcement& announcement)
+void Deployment::sendAnnouncement(std::size_t backend, const schema::Announcement& announcement, bool isForOther)
 {
     const BackendIdentity& identity = m_backends[backend]->identity();
     std::vector<SimulatedHost*> candidates;
@@ -47,10 +47,14 @@
     // Over TCP, so a lost packet only delays the announcement; a cut ends it.
     if (m_network.isCut(m_slots[backend].place, host->place()))
         return;
-    m_queue.after(m_network.delays().within, [this, host, backend, announcement] {
-        host->input([this, backend, announcement](HostProgram& program, TimePoint now) {
+    m_queue.after(m_network.delays().within, [this, host, backend, announcement, isForOther] {
+        host->input([this, backend, announcement, isForOther](HostProgram& program, TimePoint now) {
             const IpAddress& source = m_backends[backend]->identity().address;
-            m_slots[backend].lastCode = program.handleAnnouncement(announcement, source, now).code();
+            const std::uint32_t code = program.handleAnnouncement(announcement, source, now).code();
+            if (isForOther)
+                m_slots[backend].otherServiceCode = code;
+            else
+                m_slots[backend].lastCode = code;
         });
     });
 }
@@ -60,7 +64,7 @@
     const BackendServer& server = *m_backends[backend];
     const bool speaks = server.isAlive() && !server.isFrozen && server.announces;
     if (speaks)
-        sendAnnouncement(backend, announcementOf(server));
+        sendAnnouncement(backend, announcementOf(server), false);
     const SimTime lease = m_services[server.identity().service].leaseSeconds * microsecondsPerSecond;
     const bool wasRefused = speaks && m_slots[backend].lastCode != 0;
     const std::uint32_t generation = ++m_slots[backend].announceGeneration;
@@ -83,12 +87,13 @@
 {
     schema::Announcement announcement = announcementOf(backend);
     announcement.set_service(m_services[service].definition.name());
-    sendAnnouncement(static_cast<std::size_t>(backend.identity().index), announcement);
+    sendAnnouncement(static_cast<std::size_t>(backend.identity().index), announcement, true);
 }
 
 std::uint32_t Deployment::lastAnnouncementCode(const BackendServer& backend) const
 {
-    return m_slots[static_cast<std::size_t>(backend.identity().index)].lastCode;
+    const BackendSlot& slot = m_slots[static_cast<std::size_t>(backend.identity().index)];
+    return slot.otherServiceCode.value_or(slot.lastCode);
 }
 
 schema::LoadReport Deployment::loadReport(BackendServer& backend)
