--- a/src/bench/flow_experiment.cpp
+++ b/src/bench/flow_experiment.cpp
@@ -7,6 +7,7 @@
 #include <gflags/gflags.h>
 #include <iostream>
 #include <json/json.h>
+#include <map>
 
 DEFINE_uint64(seed, 1, "Seed of all runs.");
 DEFINE_uint64(flows, 28000, "Long-lived flows that are open during the change.");
@@ -58,6 +59,8 @@
         double imbalance = 0;
         double controlBytes = 0;
         double drainSeconds = 0;
+        /// Bytes of all hosts by kind of message, over the whole run.
+        std::map<std::string, std::uint64_t> bytesByKind;
     };
 
     constexpr int secondsOfTraffic = 24;
@@ -120,6 +123,10 @@
         outcome.broken = scenario::readFigure(deployment, "broken", "", runner.mark(), outcome.fault);
         outcome.split = scenario::readFigure(deployment, "split", "", runner.mark(), outcome.fault);
         outcome.controlBytes = scenario::controlBytes(deployment, runner.mark());
+        for (const auto& host : deployment.hosts()) {
+            for (const auto& [kind, bytes] : host->bytesByKind())
+                outcome.bytesByKind[kind] += bytes;
+        }
         outcome.drainSeconds = drainSeconds(runner, experiment, changed);
         return outcome;
     }
@@ -198,6 +205,8 @@
         reached = print({ prefix + "imbalance", outcome.imbalance, "ratio", imbalanceTarget, "", {} }) && reached;
         reached
             = print({ prefix + "control_bytes", outcome.controlBytes, "bytes/s", controlBudget, "", {} }) && reached;
+        for (const auto& [kind, bytes] : outcome.bytesByKind)
+            print({ prefix + "bytes_of_" + kind, static_cast<double>(bytes), "bytes", {}, "", {} });
         if (experiment.drained != nullptr)
             reached = print({ prefix + "drain_time", outcome.drainSeconds, "s", drainLimit, "", {} }) && reached;
         return reached;
