--- a/src/scenario/backend_server.cpp
+++ b/src/scenario/backend_server.cpp
@@ -53,12 +53,12 @@
     const auto& addresses = m_identity.serviceAddresses;
     if (std::find(addresses.begin(), addresses.end(), view.flow.destination) == addresses.end()) {
         m_table.note(flow->id, "at " + m_identity.name + ": wrong service");
-        m_table.count(Counter::WrongService);
+        m_table.countFault(Counter::WrongService, flow->id);
         return;
     }
     flow->wasReceived = true;
     if (flow->isRefused)
-        m_table.count(Counter::RefusedButRun);
+        m_table.countFault(Counter::RefusedButRun, flow->id);
     if (view.flow.protocol == TransportProtocol::Udp)
         receiveDatagram(*flow, now);
     else
@@ -125,7 +125,7 @@
 void BackendServer::execute(Flow& flow, const ServerFlow& record)
 {
     if (++flow.executions > 1)
-        m_table.count(Counter::RunTwice);
+        m_table.countFault(Counter::RunTwice, flow.id);
     reply(Reply::Kind::Answer, flow, record);
 }
 
--- a/src/scenario/callers.cpp
+++ b/src/scenario/callers.cpp
@@ -140,7 +140,7 @@
         flow.phase = FlowPhase::Open;
     } else if (m_isServed(flow)) {
         m_flows.note(flow.id, "datagrams now reach another backend server");
-        m_flows.count(Counter::Broken);
+        m_flows.countFault(Counter::Broken, flow.id);
     }
     flow.server = reply.server;
     flow.serverEpoch = reply.epoch;
@@ -152,7 +152,7 @@
         const bool isOther = reply.server != flow.server || reply.epoch != flow.serverEpoch;
         if (isOther && flow.phase < FlowPhase::Closed && m_isServed(flow)) {
             m_flows.note(flow.id, "accepted by a second backend server");
-            m_flows.count(Counter::Split);
+            m_flows.countFault(Counter::Split, flow.id);
         }
         return;
     }
@@ -225,7 +225,7 @@
     m_flows.count(Counter::Refused);
     flow->isRefused = true;
     if (flow->wasReceived)
-        m_flows.count(Counter::RefusedButRun);
+        m_flows.countFault(Counter::RefusedButRun, flow->id);
     finish(*flow, FlowPhase::Closed);
 }
 
@@ -252,7 +252,7 @@
     if (wasOpening)
         m_flows.count(Counter::Unopened);
     else if (isServed)
-        m_flows.count(Counter::Broken);
+        m_flows.countFault(Counter::Broken, flow.id);
     else if (!wasClosing)
         m_flows.count(Counter::EndedWithTarget);
     if (isServed && !wasClosing && flow.kind == FlowKind::Request)
--- a/src/scenario/flow_table.cpp
+++ b/src/scenario/flow_table.cpp
@@ -55,6 +55,14 @@
     return key;
 }
 
+void FlowTable::countFault(Counter counter, FlowId flow)
+{
+    constexpr std::size_t namedFlows = 5;
+    count(counter);
+    if (m_firstFaulty.size() < namedFlows)
+        m_firstFaulty.push_back(flow);
+}
+
 void FlowTable::trace(FlowId flow, std::ostream& output)
 {
     m_tracedFlow = flow;
--- a/src/scenario/flow_table.h
+++ b/src/scenario/flow_table.h
@@ -113,6 +113,9 @@
     FlowKey key(const Flow& flow) const;
 
     void count(Counter counter) { ++m_counters[static_cast<std::size_t>(counter)]; }
+    /// Counts a fault of a flow and keeps its number, so that a failing run names flows to trace.
+    void countFault(Counter counter, FlowId flow);
+    const std::vector<FlowId>& firstFaulty() const { return m_firstFaulty; }
     const Counters& counters() const { return m_counters; }
 
     /// Writes the packet history of one flow while the run goes on.
@@ -125,6 +128,7 @@
     const EventQueue& m_queue;
     std::vector<Flow> m_flows;
     Counters m_counters {};
+    std::vector<FlowId> m_firstFaulty;
     FlowId m_tracedFlow = 0;
     std::ostream* m_traceOutput = nullptr;
 };
--- a/src/scenario/runner.cpp
+++ b/src/scenario/runner.cpp
@@ -232,6 +232,11 @@
         if (counters[index] > 0)
             stream << counterName(static_cast<Counter>(index)) << '=' << counters[index] << ' ';
     }
+    const std::vector<FlowId>& faulty = m_deployment->flows().firstFaulty();
+    if (!faulty.empty())
+        stream << "flows to trace:";
+    for (const FlowId flow : faulty)
+        stream << ' ' << flow;
     return stream.str();
 }
 
