--- /dev/null
+++ b/src/libbergamot/steering/service_table_test.cpp
@@ -0,0 +1,89 @@
+#include "steering/service_table.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace bergamotroute;
+
+namespace {
+
+BucketTable makeTable(std::uint64_t version)
+{
+    BucketTable table { 9, version, "e1", false, {} };
+    for (TargetId i = 0; i < 64; ++i)
+        table.buckets.push_back({ i % 5 + 1, i % 5 + 1, false });
+    return table;
+}
+
+}
+
+// Guards against tables that differ between the leader and the hosts that receive them.
+TEST_CASE("full tables and deltas decode to the encoded table")
+{
+    const BucketTable before = makeTable(64);
+    BucketTable after = before;
+    after.version = 129;
+    after.limited = true;
+    after.buckets[3] = { 4, 7, true };
+    after.buckets[40] = { 8, 8, false };
+    after.buckets[63] = { 4, 4, true };
+    for (const BucketTable* base : { static_cast<const BucketTable*>(nullptr), &before }) {
+        const auto decoded = decodeTable(encodeTable(after, base), before, 64);
+        REQUIRE(decoded);
+        CHECK(decoded->buckets == after.buckets);
+        CHECK(decoded->version == after.version);
+        CHECK(decoded->limited);
+    }
+}
+
+// Guards against a delta that is applied to another table than the one it was made from, and against reads outside the
+// table for malformed updates.
+TEST_CASE("deltas for another version and malformed updates are refused")
+{
+    const BucketTable before = makeTable(64);
+    BucketTable after = before;
+    after.version = 129;
+    after.buckets[5] = { 1, 2, true };
+    const schema::TableUpdate delta = encodeTable(after, &before);
+    CHECK_FALSE(decodeTable(delta, makeTable(65), 64));
+    schema::TableUpdate outside = delta;
+    outside.set_bucket_gaps(0, 64);
+    CHECK_FALSE(decodeTable(outside, before, 64));
+    schema::TableUpdate unknownTarget = delta;
+    unknownTarget.set_current_index(0, 9);
+    CHECK_FALSE(decodeTable(unknownTarget, before, 64));
+    schema::TableUpdate shorter = encodeTable(after, nullptr);
+    shorter.mutable_base_index()->RemoveLast();
+    CHECK_FALSE(decodeTable(shorter, before, 64));
+}
+
+// Guards against two leaders that publish different tables under one version.
+TEST_CASE("versions of different leaders never meet")
+{
+    std::set<std::uint64_t> versions;
+    for (HostIndex leader = 0; leader < 9; ++leader) {
+        std::uint64_t version = 0;
+        for (int i = 0; i < 20; ++i) {
+            const std::uint64_t next = nextTableVersion(version, leader);
+            CHECK(next > version);
+            CHECK(versions.insert(next).second);
+            version = next;
+        }
+    }
+}
+
+// Guards against owners that move without need when a host leaves the set.
+TEST_CASE("the backup becomes owner when the owner leaves")
+{
+    const std::vector<std::string> names { "e0", "e1", "e2", "e3", "e4" };
+    const Ownership ownership(names);
+    for (std::uint32_t bucket = 0; bucket < 500; ++bucket) {
+        const BucketOwners before = ownership.rank(0x1f, 3, bucket);
+        CHECK(before.owner != before.backup);
+        const BucketOwners after = ownership.rank(0x1f & ~hostBit(before.owner), 3, bucket);
+        CHECK(after.owner == before.backup);
+        const HostIndex other = static_cast<HostIndex>(bucket % 5);
+        if (other != before.owner && other != before.backup)
+            CHECK(ownership.rank(0x1f & ~hostBit(other), 3, bucket) == before);
+    }
+}
