Keep flows on targets that an owner has not heard of yet

With lost messages, an owner could hold a record of a target whose update it had missed; it then sent the flow to the base target. It now drops such packets and asks the author of the table for the targets.

A host whose messages were more than a second late held the quorum lease now and then only and kept its buckets, so first packets for them were dropped. Time without quorum now adds up until the host gives its buckets away.

--- a/src/libbergamot/entry/entry_host_test.cpp
+++ b/src/libbergamot/entry/entry_host_test.cpp
@@ -131,34 +131,40 @@
     checkUnbroken(group);
 }
 
-// Guards against hosts that act on tables that are seconds old.
+// Guards against hosts that act on tables that are seconds old, and against owners that keep their buckets although
+// they hold the quorum lease now and then only (seen with seed 1001).
 TEST_CASE("hosts that are seconds behind break no flow")
 {
-    GroupFixture group(hostCount);
-    warmUp(group);
-    group.hostDelay[1] = Duration(3000);
-    group.hostDelay[4] = Duration(1200);
-    group.run(Duration(4000), flowRate);
-    group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
-    group.run(Duration(10'000), flowRate);
-    group.setState(*group.backends.at("10.1.0.1"), schema::READY);
-    group.run(Duration(15'000), flowRate);
-    checkUnbroken(group);
+    for (const std::uint64_t seed : { 1u, 1001u }) {
+        GroupFixture group(hostCount, seed);
+        warmUp(group);
+        group.hostDelay[1] = Duration(3000);
+        group.hostDelay[4] = Duration(1200);
+        group.run(Duration(4000), flowRate);
+        group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+        group.run(Duration(10'000), flowRate);
+        group.setState(*group.backends.at("10.1.0.1"), schema::READY);
+        group.run(Duration(15'000), flowRate);
+        checkUnbroken(group);
+    }
 }
 
-// Guards against protocols that rely on each control message.
+// Guards against protocols that rely on each control message, and against an owner that sends a recorded flow to the
+// base target because the update that introduces the recorded target was lost (seen with seeds 1007 and 3007).
 TEST_CASE("lost and delayed control messages break no flow")
 {
-    GroupFixture group(hostCount, 7);
-    warmUp(group);
-    group.faults = { Duration(1), Duration(300), 20 };
-    group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
-    group.run(Duration(5000), flowRate);
-    group.addBackend("ordering", "10.1.0.9");
-    group.run(Duration(10'000), flowRate);
-    group.setState(*group.backends.at("10.1.0.1"), schema::READY);
-    group.run(Duration(15'000), flowRate);
-    checkUnbroken(group);
+    for (const std::uint64_t seed : { 7u, 1007u, 3007u }) {
+        GroupFixture group(hostCount, seed);
+        warmUp(group);
+        group.faults = { Duration(1), Duration(300), 20 };
+        group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+        group.run(Duration(5000), flowRate);
+        group.addBackend("ordering", "10.1.0.9");
+        group.run(Duration(10'000), flowRate);
+        group.setState(*group.backends.at("10.1.0.1"), schema::READY);
+        group.run(Duration(15'000), flowRate);
+        checkUnbroken(group);
+    }
 }
 
 // Guards against copies of one first packet that reach different targets through hosts with different tables.
--- a/src/libbergamot/membership/membership.cpp
+++ b/src/libbergamot/membership/membership.cpp
@@ -14,6 +14,8 @@
     /// Echoes older than this multiple of the death time are left out, so that the modulo time never wraps.
     constexpr int echoLifetime = 4;
     constexpr std::size_t stateCount = 5;
+    /// Time with quorum makes up for this fraction of its length without quorum.
+    constexpr int quorumRecoveryDivisor = 4;
 
 }
 
@@ -246,15 +248,16 @@
         m_linkedSince = TimePoint::max();
     else if (m_linkedSince == TimePoint::max())
         m_linkedSince = now;
+    const Duration elapsed = std::min(now - m_quorumWatched, m_lease);
+    m_quorumWatched = now;
     const bool isMissing = selfState() == schema::MEMBER_READY && !hasQuorum(now) && hearsMajority(now);
-    if (!isMissing)
-        m_quorumMissingSince = TimePoint::max();
-    else if (m_quorumMissingSince == TimePoint::max())
-        m_quorumMissingSince = now;
+    // Time without quorum adds up over short returns, because late messages let the lease come and go.
+    m_quorumMissing = isMissing ? m_quorumMissing + elapsed
+                                : std::max(Duration(0), m_quorumMissing - elapsed / quorumRecoveryDivisor);
     // Others still relay to a ready host that they hear, although it cannot decide without the quorum lease. It gives
     // its buckets to hosts that can, and joins again when messages pass in time.
-    if (isMissing && now - m_quorumMissingSince >= m_lease) {
-        m_quorumMissingSince = TimePoint::max();
+    if (isMissing && m_quorumMissing >= m_lease) {
+        m_quorumMissing = Duration(0);
         setSelfState(schema::JOINING, now);
     }
 }
--- a/src/libbergamot/membership/membership.h
+++ b/src/libbergamot/membership/membership.h
@@ -110,8 +110,9 @@
     /// End of the quorum lease; kept, because every packet needs it.
     TimePoint m_quorumUntil = TimePoint::min();
     TimePoint m_linkedSince = TimePoint::max();
-    /// Time since which this host is ready but holds no quorum, or TimePoint::max().
-    TimePoint m_quorumMissingSince = TimePoint::max();
+    /// Time for which this host was ready without quorum, less a part of the time with quorum since.
+    Duration m_quorumMissing { 0 };
+    TimePoint m_quorumWatched;
     HostMask m_readyHosts = 0;
     HostMask m_removedHosts = 0;
 };
--- a/src/libbergamot/steering/owner_decisions.cpp
+++ b/src/libbergamot/steering/owner_decisions.cpp
@@ -25,6 +25,11 @@
         m_state.prober.handlePacket(packet.flow, *packet.view, now);
     if (FlowEntry* entry = findUsable(packet, now))
         return decideRecorded(packet, table, *entry, now);
+    // A record of a target that this host has not heard of yet still tells that the flow is not on the base target.
+    const FlowEntry* record = m_state.cache.find(packet.flow, packet.slot);
+    const bool isUnknownTarget = record != nullptr && m_state.targets.find(record->target) == nullptr;
+    if (isUnknownTarget && record->has(FlowRecorded) && isFresh(*record, sameTargetTime, now))
+        return drop(ResultCode::TargetRemoved);
     return decideNew(packet, table, now);
 }
 
--- a/src/libbergamot/steering/steering.cpp
+++ b/src/libbergamot/steering/steering.cpp
@@ -171,7 +171,8 @@
     const TargetInfo* target = m_state.targets.find(entry.target);
     const std::int64_t idle = std::int64_t { flowTick(now) } - entry.lastSeen;
     const bool isUdp = service.protocol == TransportProtocol::Udp;
-    if (!service.exists || (target != nullptr && target->gone && idle > closingTicks))
+    const bool targetLeft = target == nullptr || target->gone;
+    if (!service.exists || (targetLeft && idle > closingTicks))
         return true;
     if (entry.has(FlowClosing) && idle > closingTicks)
         return true;
--- a/src/libbergamot/steering/table_distribution.cpp
+++ b/src/libbergamot/steering/table_distribution.cpp
@@ -9,7 +9,7 @@
     /// First packets that acknowledgements list (section 5.6).
     constexpr Duration recentTime { 3'000 };
     constexpr Duration requestInterval { 300 };
-    constexpr Duration targetRequestInterval { 1'000 };
+    constexpr Duration reportInterval { 1'000 };
     /// 100 flows of 12 bytes fit a datagram that no network splits.
     constexpr std::size_t flowsPerChunk = 100;
 
@@ -294,6 +294,27 @@
     }
 }
 
+void TableDistribution::requestUnknownTargets(ServiceSlot slot, TimePoint now)
+{
+    const ServiceTable& table = m_state.tables[slot];
+    const auto isUnknown
+        = [this](TargetId target) { return target != noTarget && m_state.targets.find(target) == nullptr; };
+    const auto& buckets = table.table.buckets;
+    const bool anyUnknown = std::any_of(buckets.begin(), buckets.end(),
+        [&](const Bucket& bucket) { return isUnknown(bucket.base) || isUnknown(bucket.current); });
+    if (!anyUnknown)
+        return;
+    // The host that planned the table knows its targets.
+    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+        const bool isAuthor = m_state.options.peers[host].host == table.table.leader;
+        if (!isAuthor || host == m_state.self() || !m_state.isAlive(host))
+            continue;
+        schema::PeerMessage message;
+        message.mutable_table_request()->set_service_id(0);
+        m_state.sender.trySend(host, message, now);
+    }
+}
+
 void TableDistribution::advance(TimePoint now)
 {
     if (!m_state.isActing(now))
@@ -302,14 +323,16 @@
         m_actingSince = now;
     const bool reportsDue = now >= m_nextReport;
     if (reportsDue)
-        m_nextReport = now + targetRequestInterval;
+        m_nextReport = now + reportInterval;
     for (ServiceSlot slot = 0; slot < m_state.tables.size(); ++slot) {
         if (!m_state.services.info(slot).exists)
             continue;
         requestMissing(slot, now);
         updateActive(slot, now);
-        if (reportsDue)
+        if (reportsDue) {
+            requestUnknownTargets(slot, now);
             reportBuckets(slot, now);
+        }
         if (mayPlan(slot, now))
             plan(slot, now);
     }
--- a/src/libbergamot/steering/table_distribution.h
+++ b/src/libbergamot/steering/table_distribution.h
@@ -44,6 +44,7 @@
     bool holdsBucket(const ServiceTable& table, HostIndex peer, std::uint32_t bucket) const;
     void request(HostIndex peer, ServiceSlot slot, TimePoint now);
     void requestMissing(ServiceSlot slot, TimePoint now);
+    void requestUnknownTargets(ServiceSlot slot, TimePoint now);
     void updateActive(ServiceSlot slot, TimePoint now);
     bool isExempt(HostIndex host, TimePoint now) const;
     void reportBuckets(ServiceSlot slot, TimePoint now);
@@ -58,7 +59,6 @@
     SteeringState& m_state;
     TimePoint m_nextReport = TimePoint::min();
     TimePoint m_actingSince = TimePoint::max();
-    TimePoint m_lastTargetRequest = TimePoint::min();
 };
 
 }
