--- a/src/libbergamot/entry/group_fixture.h
+++ b/src/libbergamot/entry/group_fixture.h
@@ -58,7 +58,7 @@
         addService("ordering", "10.9.0.1", schema::TCP);
         for (std::size_t i = 0; i < hostCount; ++i)
             names.push_back("e" + std::to_string(i));
-        sinks.resize(hostCount);
+        m_sinks.resize(hostCount);
         hosts.resize(hostCount);
         hostDelay.resize(hostCount);
         partition.resize(hostCount);
@@ -99,8 +99,8 @@
             options.peers.push_back({ names[i], dataCentreOf(i) });
         options.incarnation = ++m_incarnations;
         options.flowCacheEntries = 65'536;
-        sinks[index] = std::make_unique<Sink>(*this, index);
-        hosts[index] = std::make_unique<EntryHost>(options, *sinks[index], now());
+        m_sinks[index] = std::make_unique<Sink>(*this, index);
+        hosts[index] = std::make_unique<EntryHost>(options, *m_sinks[index], now());
         hosts[index]->handleConfiguration(configuration, now());
         sprayed.insert(index);
     }
@@ -242,7 +242,7 @@
 
 private:
     class Sink;
-    std::vector<std::unique_ptr<EntryHostSink>> sinks;
+    std::vector<std::unique_ptr<EntryHostSink>> m_sinks;
 
     class Sink final : public EntryHostSink {
     public:
