--- a/src/bench/baseline_host.cpp
+++ b/src/bench/baseline_host.cpp
@@ -198,6 +198,7 @@
         static std::vector<TargetId> moduloTable(const std::map<TargetId, std::uint32_t>& targets)
         {
             std::vector<TargetId> table;
+            table.reserve(targets.size());
             for (const auto& [id, weight] : targets)
                 table.push_back(id);
             return table;
--- a/src/libbergamot/entry/entry_host_core.cpp
+++ b/src/libbergamot/entry/entry_host_core.cpp
@@ -166,7 +166,7 @@
     m_steering.fillHeartbeat(heartbeat);
     m_targets->fillHeartbeat(heartbeat, now);
     m_admission->fillHeartbeat(heartbeat, now);
-    for (HostIndex peer = 0; peer < m_options.peers.size(); ++peer) {
+    for (HostIndex peer = 0; peer < static_cast<HostIndex>(m_options.peers.size()); ++peer) {
         if (peer != m_self)
             m_sender.sendUrgent(peer, message, now);
     }
@@ -179,7 +179,7 @@
         return;
     schema::PeerMessage message;
     *message.mutable_target_update() = *update;
-    for (HostIndex peer = 0; peer < m_options.peers.size(); ++peer) {
+    for (HostIndex peer = 0; peer < static_cast<HostIndex>(m_options.peers.size()); ++peer) {
         if (peer != m_self)
             m_sender.sendUrgent(peer, message, now);
     }
--- a/src/libbergamot/membership/membership.cpp
+++ b/src/libbergamot/membership/membership.cpp
@@ -29,7 +29,7 @@
     , m_peers(options.peers.size())
 {
     m_view.self = self;
-    for (HostIndex host = 0; host < options.peers.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(options.peers.size()); ++host) {
         const PeerConfig& peer = options.peers[host];
         m_view.members.push_back({ host, peer.host, peer.dataCentre, 0, schema::DEAD });
     }
@@ -51,7 +51,7 @@
 std::size_t Membership::majority() const
 {
     std::size_t members = 0;
-    for (HostIndex host = 0; host < m_peers.size(); ++host)
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_peers.size()); ++host)
         members += isMember(host) ? 1 : 0;
     return members / 2 + 1;
 }
@@ -122,7 +122,7 @@
     heartbeat.set_view_epoch(m_readyHosts);
     heartbeat.set_has_quorum(hasQuorum(now));
     std::string ages;
-    for (HostIndex host = 0; host < m_peers.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_peers.size()); ++host) {
         const PeerKnowledge& peer = m_peers[host];
         const bool fresh = peer.everHeard && now - peer.lastHeard <= m_deadAfter * echoLifetime;
         const MemberView& member = m_view.members[host];
@@ -142,7 +142,7 @@
 bool Membership::isDeadForMajority(HostIndex host, TimePoint now) const
 {
     std::size_t silent = heardWithin(host, m_deadAfter, now) ? 0 : 1;
-    for (HostIndex witness = 0; witness < m_peers.size(); ++witness) {
+    for (HostIndex witness = 0; witness < static_cast<HostIndex>(m_peers.size()); ++witness) {
         const bool counts = witness != host && witness != m_view.self && isMember(witness)
             && heardWithin(witness, m_deadAfter, now) && host < m_peers[witness].heardAge.size();
         if (!counts)
@@ -156,7 +156,7 @@
 void Membership::adoptMajorityState(HostIndex host, TimePoint now)
 {
     std::array<std::size_t, stateCount> votes {};
-    for (HostIndex witness = 0; witness < m_peers.size(); ++witness) {
+    for (HostIndex witness = 0; witness < static_cast<HostIndex>(m_peers.size()); ++witness) {
         const bool counts = witness != host && witness != m_view.self && heardWithin(witness, m_deadAfter, now)
             && host < m_peers[witness].heard.size() && m_peers[witness].heard[host] != 0;
         if (counts)
@@ -173,7 +173,7 @@
     std::vector<schema::MemberState> before;
     for (const MemberView& member : m_view.members)
         before.push_back(member.state);
-    for (HostIndex host = 0; host < m_peers.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_peers.size()); ++host) {
         const schema::MemberState known = state(host);
         if (host == m_view.self || known == schema::LEFT)
             continue;
@@ -189,7 +189,7 @@
     refreshReadyHosts();
     m_view.hasQuorum = hasQuorum(now);
     bool changed = readyBefore != m_readyHosts || quorumBefore != m_view.hasQuorum;
-    for (HostIndex host = 0; host < m_peers.size(); ++host)
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_peers.size()); ++host)
         changed = changed || before[host] != state(host);
     return changed;
 }
@@ -225,7 +225,7 @@
     if (self != schema::MEMBER_READY && self != schema::LEAVING)
         return;
     std::vector<TimePoint> ends { TimePoint::max() };
-    for (HostIndex host = 0; host < m_peers.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_peers.size()); ++host) {
         if (host != m_view.self)
             ends.push_back(m_peers[host].quorumUntil);
     }
@@ -237,7 +237,7 @@
 std::size_t Membership::countUntil(TimePoint PeerKnowledge::*end, TimePoint now) const
 {
     std::size_t count = 1;
-    for (HostIndex host = 0; host < m_peers.size(); ++host)
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_peers.size()); ++host)
         count += host != m_view.self && m_peers[host].*end > now ? 1 : 0;
     return count;
 }
@@ -265,7 +265,7 @@
 bool Membership::hearsMajority(TimePoint now) const
 {
     std::size_t heard = 1;
-    for (HostIndex host = 0; host < m_peers.size(); ++host)
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_peers.size()); ++host)
         heard += host != m_view.self && heardWithin(host, m_deadAfter, now) ? 1 : 0;
     return heard >= majority();
 }
--- a/src/libbergamot/quorum/quorum_log.cpp
+++ b/src/libbergamot/quorum/quorum_log.cpp
@@ -119,7 +119,7 @@
         heldMessages.emplace_back(requestedPersist, std::move(message));
 }
 
-void QuorumLog::Implementation::sendNow(schema::ControlMessage message) { sink.send(message); }
+void QuorumLog::Implementation::sendNow(const schema::ControlMessage& message) { sink.send(message); }
 
 void QuorumLog::Implementation::stop(ResultCode code, std::string_view detail)
 {
--- a/src/libbergamot/quorum/quorum_state.h
+++ b/src/libbergamot/quorum/quorum_state.h
@@ -58,7 +58,7 @@
     void persist(PersistRequest request);
     void persistHardState();
     void sendWhenDurable(schema::ControlMessage message);
-    void sendNow(schema::ControlMessage message);
+    void sendNow(const schema::ControlMessage& message);
     schema::ControlMessage messageTo(const std::string& identity) const;
     void stop(ResultCode code, std::string_view detail);
     bool isStopped() const { return role == QuorumRole::Stopped; }
--- a/src/libbergamot/steering/hint_queue.cpp
+++ b/src/libbergamot/steering/hint_queue.cpp
@@ -34,7 +34,7 @@
     if (now < m_nextBatch)
         return;
     m_nextBatch = now + batchInterval;
-    for (HostIndex peer = 0; peer < m_queues.size(); ++peer) {
+    for (HostIndex peer = 0; peer < static_cast<HostIndex>(m_queues.size()); ++peer) {
         if (m_queues[peer].empty())
             continue;
         schema::PeerMessage message;
--- a/src/libbergamot/steering/owner_decisions.cpp
+++ b/src/libbergamot/steering/owner_decisions.cpp
@@ -144,7 +144,7 @@
     if (!m_state.membership.hearsMajority(now))
         return noHost;
     HostMask candidates = 0;
-    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_state.options.peers.size()); ++host) {
         const bool isUsable = host != m_state.self() && m_state.membership.state(host) == schema::MEMBER_READY
             && m_state.membership.heardWithin(host, m_state.options.deadAfter, now);
         candidates |= isUsable ? hostBit(host) : 0;
@@ -155,7 +155,7 @@
 HostIndex PacketPath::cutOffDecider(const SteeredPacket& packet, TimePoint now) const
 {
     HostMask candidates = hostBit(m_state.self());
-    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_state.options.peers.size()); ++host) {
         const bool isNeighbour = m_state.options.peers[host].dataCentre == m_state.options.dataCentre
             && m_state.membership.heardWithin(host, m_state.options.deadAfter, now);
         candidates |= isNeighbour ? hostBit(host) : 0;
--- a/src/libbergamot/steering/ownership.cpp
+++ b/src/libbergamot/steering/ownership.cpp
@@ -24,7 +24,7 @@
     BucketOwners best;
     std::uint64_t ownerScore = 0;
     std::uint64_t backupScore = 0;
-    for (HostIndex host = 0; host < m_hostHashes.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_hostHashes.size()); ++host) {
         if ((hosts & hostBit(host)) == 0)
             continue;
         const std::uint64_t score = XXH3_64bits_withSeed(key.data(), sizeof(key), m_hostHashes[host]);
--- a/src/libbergamot/steering/record_transfer.cpp
+++ b/src/libbergamot/steering/record_transfer.cpp
@@ -35,7 +35,7 @@
         return;
     const std::uint32_t bucket = bucketOf(entry.flow, m_state.bucketCount());
     const ServiceId service = m_state.services.info(entry.service).id;
-    for (HostIndex host = 0; host < m_streams.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_streams.size()); ++host) {
         if ((m_joining & hostBit(host)) == 0)
             continue;
         const HostMask prospective = m_state.membership.readyHosts() | hostBit(host);
@@ -87,7 +87,7 @@
                 enqueue(host, entry);
         }
     });
-    for (HostIndex host = 0; host < m_streams.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_streams.size()); ++host) {
         if (host != m_state.self() && (ready & hostBit(host)) != 0)
             m_streams[host].queue.push_back({ 0, 0, ready });
     }
@@ -138,7 +138,7 @@
 
 void RecordTransfer::advance(TimePoint now)
 {
-    for (HostIndex host = 0; host < m_streams.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_streams.size()); ++host) {
         Stream& stream = m_streams[host];
         const schema::MemberState state = m_state.membership.state(host);
         if (state == schema::DEAD || state == schema::LEFT) {
--- a/src/libbergamot/steering/steering.cpp
+++ b/src/libbergamot/steering/steering.cpp
@@ -193,7 +193,7 @@
 
 void Steering::dump(schema::EntryHostState& state) const
 {
-    for (ServiceSlot slot = 0; slot < m_state.tables.size(); ++slot) {
+    for (ServiceSlot slot = 0; slot < static_cast<ServiceSlot>(m_state.tables.size()); ++slot) {
         const ServiceInfo& info = m_state.services.info(slot);
         if (!info.exists)
             continue;
--- a/src/libbergamot/steering/table_distribution.cpp
+++ b/src/libbergamot/steering/table_distribution.cpp
@@ -57,7 +57,7 @@
     for (const RecentFlow& flow : flowsFor(slot, m_state.self(), now))
         m_state.storeRecord(flow.flow, slot, flow.target, 0, now);
     if (m_state.isAlive(m_state.self())) {
-        for (HostIndex peer = 0; peer < m_state.options.peers.size(); ++peer) {
+        for (HostIndex peer = 0; peer < static_cast<HostIndex>(m_state.options.peers.size()); ++peer) {
             if (peer != m_state.self() && m_state.isAlive(peer))
                 acknowledge(slot, peer, now);
         }
@@ -140,8 +140,8 @@
 
 void TableDistribution::acknowledgeAll(TimePoint now)
 {
-    for (ServiceSlot slot = 0; slot < m_state.tables.size(); ++slot) {
-        for (HostIndex peer = 0; peer < m_state.options.peers.size(); ++peer) {
+    for (ServiceSlot slot = 0; slot < static_cast<ServiceSlot>(m_state.tables.size()); ++slot) {
+        for (HostIndex peer = 0; peer < static_cast<HostIndex>(m_state.options.peers.size()); ++peer) {
             if (m_state.tables[slot].exists() && peer != m_state.self() && m_state.isAlive(peer))
                 acknowledge(slot, peer, now);
         }
@@ -238,8 +238,8 @@
 
 bool TableDistribution::isCurrent() const
 {
-    for (ServiceSlot slot = 0; slot < m_state.tables.size(); ++slot) {
-        for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+    for (ServiceSlot slot = 0; slot < static_cast<ServiceSlot>(m_state.tables.size()); ++slot) {
+        for (HostIndex host = 0; host < static_cast<HostIndex>(m_state.options.peers.size()); ++host) {
             if (host != m_state.self() && m_state.isAlive(host)
                 && m_state.tables[slot].hosts[host].advertised > m_state.tables[slot].table.version)
                 return false;
@@ -263,7 +263,7 @@
         return;
     std::uint64_t active = table.table.version;
     std::size_t acknowledged = 1;
-    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_state.options.peers.size()); ++host) {
         if (host == m_state.self() || !m_state.isAlive(host))
             continue;
         const std::uint64_t version = table.hosts[host].acknowledged;
@@ -280,7 +280,7 @@
 void TableDistribution::requestMissing(ServiceSlot slot, TimePoint now)
 {
     const ServiceTable& table = m_state.tables[slot];
-    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_state.options.peers.size()); ++host) {
         if (host == m_state.self() || !m_state.isAlive(host))
             continue;
         const HostTableState& known = table.hosts[host];
@@ -305,7 +305,7 @@
     if (!anyUnknown)
         return;
     // The host that planned the table knows its targets.
-    for (HostIndex host = 0; host < m_state.options.peers.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_state.options.peers.size()); ++host) {
         const bool isAuthor = m_state.options.peers[host].host == table.table.leader;
         if (!isAuthor || host == m_state.self() || !m_state.isAlive(host))
             continue;
@@ -324,7 +324,7 @@
     const bool reportsDue = now >= m_nextReport;
     if (reportsDue)
         m_nextReport = now + reportInterval;
-    for (ServiceSlot slot = 0; slot < m_state.tables.size(); ++slot) {
+    for (ServiceSlot slot = 0; slot < static_cast<ServiceSlot>(m_state.tables.size()); ++slot) {
         if (!m_state.services.info(slot).exists)
             continue;
         requestMissing(slot, now);
--- a/src/libbergamot/steering/table_planning.cpp
+++ b/src/libbergamot/steering/table_planning.cpp
@@ -99,7 +99,7 @@
     next.leader = m_state.options.host;
     schema::PeerMessage message;
     *message.mutable_table_update() = encodeTable(next, before.version == 0 ? nullptr : &before);
-    for (HostIndex peer = 0; peer < m_state.options.peers.size(); ++peer) {
+    for (HostIndex peer = 0; peer < static_cast<HostIndex>(m_state.options.peers.size()); ++peer) {
         if (peer != m_state.self() && m_state.membership.state(peer) != schema::DEAD
             && m_state.membership.state(peer) != schema::LEFT)
             m_state.sender.sendUrgent(peer, message, now);
--- a/src/libbergamot/steering/view_changes.cpp
+++ b/src/libbergamot/steering/view_changes.cpp
@@ -42,7 +42,7 @@
 
 void Steering::watchPeers(TimePoint now)
 {
-    for (HostIndex host = 0; host < m_knownStates.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_knownStates.size()); ++host) {
         const schema::MemberState state = m_state.membership.state(host);
         if (state == m_knownStates[host])
             continue;
@@ -78,7 +78,7 @@
     }
     m_state.viewChanging = true;
     m_transfer.handleViewChange(former, before);
-    for (HostIndex host = 0; host < m_knownStates.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_knownStates.size()); ++host) {
         // The set of records that a joining host needs depends on the ready hosts.
         if (m_knownStates[host] == schema::JOINING && host != m_state.self())
             m_transfer.startJoin(host);
@@ -96,7 +96,7 @@
             awaited |= isAwaited ? hostBit(former) : 0;
         }
     }
-    for (HostIndex host = 0; host < m_knownStates.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_knownStates.size()); ++host) {
         if ((awaited & hostBit(host)) != 0 && !m_transfer.hasFinished(host, m_knownReady))
             return false;
     }
@@ -118,7 +118,7 @@
 {
     if (!m_distribution.isCurrent())
         return false;
-    for (HostIndex host = 0; host < m_knownStates.size(); ++host) {
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_knownStates.size()); ++host) {
         const bool isReady = host != m_state.self() && m_state.membership.state(host) == schema::MEMBER_READY;
         if (isReady && !m_transfer.hasSentAny(host))
             return false;
@@ -135,7 +135,7 @@
         m_wasActing = false;
         m_rejoins = true;
         m_joinStart = now;
-        for (HostIndex host = 0; host < m_knownStates.size(); ++host)
+        for (HostIndex host = 0; host < static_cast<HostIndex>(m_knownStates.size()); ++host)
             m_transfer.forgetFinished(host);
     }
     const bool hasConfiguration = m_state.services.size() > 0;
--- a/src/libbergamotio/http2_transport.cpp
+++ b/src/libbergamotio/http2_transport.cpp
@@ -66,7 +66,7 @@
     {
         Http2Transport::Body& body = self(context).m_bodies[stream];
         const std::size_t count = std::min(length, body.bytes.size() - body.sent);
-        std::memcpy(buffer, body.bytes.data() + body.sent, count);
+        std::copy_n(body.bytes.begin() + static_cast<std::ptrdiff_t>(body.sent), count, buffer);
         body.sent += count;
         if (body.sent == body.bytes.size())
             *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/standins/common/fault_plan_test.cpp
+++ b/src/standins/common/fault_plan_test.cpp
@@ -15,6 +15,7 @@
     plan.set("duplicate", "0.2");
     plan.set("jitter_ms", "50");
     std::vector<std::vector<Duration>> decisions;
+    decisions.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         decisions.push_back(plan.datagramDelays());
     return decisions;
