Revert "Request a missing table or acknowledgement only after 0.7 s"

The stream of records to the rejoining host stays busy for 9 s; why fewer table requests slow it is not known.

--- a/src/libbergamot/steering/service_table.h
+++ b/src/libbergamot/steering/service_table.h
@@ -44,8 +44,6 @@
     bool limitedReported = false;
     TimePoint appliedAt;
     TimePoint lastRequest = TimePoint::min();
-    /// Since when a table or acknowledgement of another host is missing; noDeadline if none is.
-    TimePoint missingSince = noDeadline;
     /// Buckets that their owners reported for the present version, on the table leader.
     std::vector<bool> reportedClear;
     std::vector<bool> reportedDivergent;
--- a/src/libbergamot/steering/table_distribution.cpp
+++ b/src/libbergamot/steering/table_distribution.cpp
@@ -8,10 +8,7 @@
 
     /// First packets that acknowledgements list (section 5.6).
     constexpr Duration recentTime { 3'000 };
-    constexpr Duration requestInterval { 700 };
-    /// An update or acknowledgement may be later than a heartbeat that was sent after it. A request at once would bring
-    /// a whole table for each delayed message; two repairs still fit into the 3 s of a drain.
-    constexpr Duration repairDelay { 700 };
+    constexpr Duration requestInterval { 300 };
     constexpr Duration reportInterval { 1'000 };
     /// 100 flows of 12 bytes fit a datagram that no network splits.
     constexpr std::size_t flowsPerChunk = 100;
@@ -217,7 +214,7 @@
             continue;
         HostTableState& host = m_state.tables[slot].hosts[from];
         host.advertised = std::max(host.advertised, version.version());
-        if (!m_state.tables[slot].exists() && version.version() > 0)
+        if (version.version() > m_state.tables[slot].table.version)
             request(from, slot, now);
     }
 }
@@ -280,7 +277,7 @@
     table.activeVersion = std::max(table.activeVersion, active);
 }
 
-HostIndex TableDistribution::hostWithMissing(ServiceSlot slot) const
+void TableDistribution::requestMissing(ServiceSlot slot, TimePoint now)
 {
     const ServiceTable& table = m_state.tables[slot];
     for (HostIndex host = 0; host < static_cast<HostIndex>(m_state.options.peers.size()); ++host) {
@@ -290,22 +287,11 @@
         const bool lacksTable = known.advertised > table.table.version;
         const bool lacksAcknowledgement
             = known.acknowledged < table.table.version && known.advertised >= table.table.version;
-        if (lacksTable || lacksAcknowledgement)
-            return host;
+        if (lacksTable || lacksAcknowledgement) {
+            request(host, slot, now);
+            return;
+        }
     }
-    return noHost;
-}
-
-void TableDistribution::requestMissing(ServiceSlot slot, TimePoint now)
-{
-    ServiceTable& table = m_state.tables[slot];
-    const HostIndex host = hostWithMissing(slot);
-    if (host == noHost)
-        table.missingSince = noDeadline;
-    else if (table.missingSince == noDeadline)
-        table.missingSince = now;
-    else if (now - table.missingSince >= repairDelay)
-        request(host, slot, now);
 }
 
 void TableDistribution::requestUnknownTargets(ServiceSlot slot, TimePoint now)
--- a/src/libbergamot/steering/table_distribution.h
+++ b/src/libbergamot/steering/table_distribution.h
@@ -43,8 +43,6 @@
     void addUdpFlows(ServiceSlot slot, HostIndex peer, std::vector<RecentFlow>& flows, TimePoint now);
     bool holdsBucket(const ServiceTable& table, HostIndex peer, std::uint32_t bucket) const;
     void request(HostIndex peer, ServiceSlot slot, TimePoint now);
-    /// @return a host whose table or acknowledgement this host lacks, or noHost.
-    HostIndex hostWithMissing(ServiceSlot slot) const;
     void requestMissing(ServiceSlot slot, TimePoint now);
     void requestUnknownTargets(ServiceSlot slot, TimePoint now);
     void updateActive(ServiceSlot slot, TimePoint now);
