Repeat the transfer to a host that stays in state joining

Cause: a ready host starts the transfer to a joining host once, when it sees the state change. It does not start while it may not act itself, and the joining host forgets what it got when it starts again, so the end mark could be missing for ever. Urgent messages could also use the whole budget, so that transfers waited without end. Change: the transfer is started again every 2 s while the stream to the joining host is idle, and 256 B/s are reserved for messages that are not urgent. Ruled out: faster table requests for joining hosts made no difference.

--- a/src/libbergamot/steering/control_sender.cpp
+++ b/src/libbergamot/steering/control_sender.cpp
@@ -11,6 +11,7 @@
     constexpr std::int64_t milli = 1000;
     /// The budget is an average over 10 s; half of that may be sent in one burst.
     constexpr std::uint32_t burstSeconds = 5;
+    constexpr std::uint32_t reserveBytesPerSecond = 256;
 
 }
 
@@ -47,6 +48,7 @@
     : m_sink(sink)
     , m_host(options.host)
     , m_budget(options.controlBytesPerSecond, options.controlBytesPerSecond * burstSeconds, now)
+    , m_reserve(reserveBytesPerSecond, reserveBytesPerSecond, now)
 {
 }
 
@@ -62,7 +64,7 @@
 {
     message.set_from(m_host);
     const std::size_t bytes = message.ByteSizeLong() + datagramHeaders;
-    if (!m_budget.tryTake(bytes, now))
+    if (!m_budget.tryTake(bytes, now) && !m_reserve.tryTake(bytes, now))
         return false;
     send(peer, message, bytes);
     return true;
--- a/src/libbergamot/steering/control_sender.h
+++ b/src/libbergamot/steering/control_sender.h
@@ -47,6 +47,8 @@
     EntryHostSink& m_sink;
     std::string m_host;
     TokenBucket m_budget;
+    /// Keeps record transfers going while urgent messages use the whole budget.
+    TokenBucket m_reserve;
     std::uint64_t m_sentBytes = 0;
 };
 
--- a/src/libbergamot/steering/record_transfer.h
+++ b/src/libbergamot/steering/record_transfer.h
@@ -22,6 +22,9 @@
     /// Starts to send a joining host the records that it will hold.
     void startJoin(HostIndex host);
 
+    /// @return true if nothing waits to be sent to this host.
+    bool isIdleTo(HostIndex host) const { return !m_streams[host].inFlight && m_streams[host].queue.empty(); }
+
     /// Notes that a host no longer joins.
     void stopJoin(HostIndex host) { m_joining &= ~hostBit(host); }
 
--- a/src/libbergamot/steering/steering.h
+++ b/src/libbergamot/steering/steering.h
@@ -43,6 +43,7 @@
 private:
     ResultCode parse(std::span<const std::byte> bytes, PacketView& view, SteeredPacket& packet) const;
     void watchPeers(TimePoint now);
+    void repeatJoins(TimePoint now);
     void changeView(TimePoint now);
     void completeView(TimePoint now);
     bool hasRecordsOfFormerOwners() const;
@@ -64,6 +65,7 @@
     std::vector<schema::MemberState> m_knownStates;
     std::vector<std::uint64_t> m_knownIncarnations;
     TimePoint m_joinStart;
+    TimePoint m_nextJoinRepeat = TimePoint::min();
     TimePoint m_lastRelayIn;
     TimePoint m_leaveStart = TimePoint::max();
     bool m_wasActing = false;
--- a/src/libbergamot/steering/view_changes.cpp
+++ b/src/libbergamot/steering/view_changes.cpp
@@ -11,6 +11,9 @@
     constexpr Duration joinPatience { 3'000 };
     /// A host that lost its place joins again when messages have passed in time for this long.
     constexpr Duration rejoinLinkTime { 3'000 };
+    /// A transfer to a joining host is not started while this host may not act, and the joining host may forget what
+    /// it got when it starts again. Without a repetition it would wait for the end mark for ever.
+    constexpr Duration joinRepeatInterval { 2'000 };
     /// A leaving host stops when no peer has relayed to it for this long.
     constexpr Duration leaveQuiet { 1'000 };
     /// A leaving host stops after this time even if others still relay to it or do not answer.
@@ -25,6 +28,7 @@
     else if (m_state.cutOffSince == TimePoint::max())
         m_state.cutOffSince = now;
     watchPeers(now);
+    repeatJoins(now);
     if (m_state.membership.readyHosts() != m_knownReady)
         changeView(now);
     if (m_state.viewChanging)
@@ -66,6 +70,17 @@
     }
 }
 
+void Steering::repeatJoins(TimePoint now)
+{
+    if (now < m_nextJoinRepeat || !m_state.isActing(now))
+        return;
+    m_nextJoinRepeat = now + joinRepeatInterval;
+    for (HostIndex host = 0; host < static_cast<HostIndex>(m_knownStates.size()); ++host) {
+        if (host != m_state.self() && m_knownStates[host] == schema::JOINING && m_transfer.isIdleTo(host))
+            m_transfer.startJoin(host);
+    }
+}
+
 void Steering::changeView(TimePoint)
 {
     const HostMask before = m_knownReady;
