--- a/src/libbergamot/quorum/replication.cpp
+++ b/src/libbergamot/quorum/replication.cpp
@@ -48,7 +48,7 @@
     request.set_sent_ms(toWire(now));
     state.inFlightUpTo = newestSnapshot->last_index();
     state.inFlightSince = now;
-    sendNow(std::move(message));
+    sendNow(message);
 }
 
 void QuorumLog::Implementation::sendAppend(
@@ -71,7 +71,7 @@
         state.inFlightUpTo = last;
         state.inFlightSince = now;
     }
-    sendNow(std::move(message));
+    sendNow(message);
 }
 
 void QuorumLog::Implementation::replicate(const std::string& identity, TimePoint now)
