Answer requests for a whole table only when no update can be on its way

Cause: heartbeats overtake table updates, so ready hosts asked at once for a table that was already sent, and the table leader answered each request in full. Change: a ready host gets a whole table after it has asked for 0.7 s, and at most one in 0.7 s. Joining hosts are still answered at once.

--- a/src/libbergamot/steering/service_table.cpp
+++ b/src/libbergamot/steering/service_table.cpp
@@ -64,6 +64,19 @@
 
 }
 
+bool HostTableState::isTableDue(TimePoint now)
+{
+    // Heartbeats overtake table updates. A whole table for each request took a third of the control traffic.
+    constexpr Duration updateDelay { 700 };
+    constexpr Duration seriesGap { 1'500 };
+    const bool isNewSeries = requestedLast == TimePoint::min() || now - requestedLast > seriesGap;
+    if (isNewSeries)
+        requestedSince = now;
+    requestedLast = now;
+    const bool sentLately = tableSentAt != TimePoint::min() && now - tableSentAt < updateDelay;
+    return now - requestedSince >= updateDelay && !sentLately;
+}
+
 void ServiceTable::replace(BucketTable next, TimePoint now)
 {
     const std::size_t count = next.buckets.size();
--- a/src/libbergamot/steering/service_table.h
+++ b/src/libbergamot/steering/service_table.h
@@ -24,6 +24,14 @@
     /// Version of the acknowledgement that is being received in parts, and the parts that came in.
     std::uint64_t pendingVersion = 0;
     std::vector<bool> chunks;
+    /// First and last of a series of requests of this host for a whole table, and the last answer.
+    TimePoint requestedSince = TimePoint::min();
+    TimePoint requestedLast = TimePoint::min();
+    TimePoint tableSentAt = TimePoint::min();
+
+    /// Notes a request of a ready host for a whole table.
+    /// @return true if the host has missed the table long enough that no update can be on its way.
+    bool isTableDue(TimePoint now);
 };
 
 /// Table of one service on one host.
--- a/src/libbergamot/steering/table_distribution.cpp
+++ b/src/libbergamot/steering/table_distribution.cpp
@@ -201,6 +201,11 @@
         acknowledge(slot, from, now);
         return;
     }
+    HostTableState& host = m_state.tables[slot].hosts[from];
+    const bool isReady = m_state.membership.state(from) == schema::MEMBER_READY;
+    if (isReady && !host.isTableDue(now))
+        return;
+    host.tableSentAt = now;
     schema::PeerMessage message;
     *message.mutable_table_update() = encodeTable(table->table, nullptr);
     m_state.sender.sendUrgent(from, message, now);
