Free HTTP requests whose client closed before the answer

evhttp takes such a request off its connection and leaves it to the program, so each one was lost (706 bytes in the leak sanitizer's report of libbergamotio_test, which covers a client that closes early). The report is empty with the change.

--- a/src/libbergamotio/http_server.cpp
+++ b/src/libbergamotio/http_server.cpp
@@ -113,6 +113,10 @@
 void HttpExchange::handleClose(evhttp_connection*, void* exchange)
 {
     auto* self = static_cast<HttpExchange*>(exchange);
+    // A request whose client closed before the answer is already taken off its connection, and evhttp leaves it to us.
+    // A request that is still on a connection is freed with it.
+    if (evhttp_request_get_connection(self->m_request) == nullptr)
+        evhttp_request_free(self->m_request);
     self->m_request = nullptr;
     if (self->m_closed)
         self->m_closed();
