--- a/src/bench/control/control_processes.cpp
+++ b/src/bench/control/control_processes.cpp
@@ -2,12 +2,10 @@
 
 #include "libbergamotio/socket_address.h"
 
-#include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <spawn.h>
+#include <iostream>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 namespace bergamotroute::bench {
@@ -66,21 +64,15 @@
 
 bool startControlHost(const std::string& program, ControlProcess& host)
 {
-    std::string path = program;
-    std::string flag = "--settings";
-    std::string settings = host.folder + "/settings.json";
-    char* arguments[] = { path.data(), flag.data(), settings.data(), nullptr };
-    return posix_spawn(&host.process, path.c_str(), nullptr, nullptr, arguments, environ) == 0;
+    const std::vector<std::string> arguments { "--settings", host.folder + "/settings.json" };
+    std::error_code error;
+    host.process = ChildProcess::start(program, arguments, error);
+    if (error)
+        std::cerr << "cannot start " << program << ": " << error.message() << '\n';
+    return host.process != nullptr;
 }
 
-void killControlHost(ControlProcess& host)
-{
-    if (host.process <= 0)
-        return;
-    ::kill(host.process, SIGKILL);
-    ::waitpid(host.process, nullptr, 0);
-    host.process = 0;
-}
+void killControlHost(ControlProcess& host) { host.process.reset(); }
 
 std::uint64_t dataBytes(const ControlProcess& host)
 {
--- a/src/bench/control/control_processes.h
+++ b/src/bench/control/control_processes.h
@@ -3,9 +3,11 @@
 /// @file
 /// Three bergamot-control processes on loopback for the benchmark.
 
+#include "libbergamotio/child_process.h"
+
 #include <cstdint>
+#include <memory>
 #include <string>
-#include <sys/types.h>
 #include <vector>
 
 namespace bergamotroute::bench {
@@ -16,7 +18,8 @@
     std::string folder;
     std::uint16_t rpcPort = 0;
     std::uint16_t httpPort = 0;
-    pid_t process = 0;
+    /// Null while the host does not run.
+    std::unique_ptr<ChildProcess> process;
 };
 
 inline constexpr const char* benchToken = "bench-token";
--- a/src/bench/forward/forwarder.cpp
+++ b/src/bench/forward/forwarder.cpp
@@ -1,14 +1,12 @@
 #include "bench/forward/forwarder.h"
 
 #include "bench/forward/bare_relay.h"
+#include "bergamotroute/result_code.h"
 #include "libbergamotio/socket_address.h"
 
-#include <csignal>
 #include <fstream>
-#include <spawn.h>
-#include <sstream>
-#include <sys/wait.h>
 #include <unistd.h>
+#include <vector>
 
 namespace bergamotroute {
 
@@ -38,44 +36,21 @@
 
 }
 
-ChildProcess::~ChildProcess()
-{
-    kill(m_pid, SIGKILL);
-    waitpid(m_pid, nullptr, 0);
-}
-
-double ChildProcess::processorSeconds() const
-{
-    // User and system time are the 12th and 13th field after the program name (proc(5)).
-    constexpr int fieldsBefore = 11;
-    std::ifstream file("/proc/" + std::to_string(m_pid) + "/stat");
-    std::string line;
-    std::getline(file, line);
-    std::istringstream fields(line.substr(line.rfind(')') + 2));
-    std::string skipped;
-    for (int i = 0; i < fieldsBefore; ++i)
-        fields >> skipped;
-    double user = 0;
-    double system = 0;
-    fields >> user >> system;
-    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-pid_t startBareRelay(const Endpoint& target, Endpoint& listen)
+std::unique_ptr<ChildProcess> startBareRelay(const Endpoint& target, Endpoint& listen, std::error_code& error)
 {
     const int descriptor = socket(AF_INET, SOCK_DGRAM, 0);
-    std::error_code error;
     const SocketAddress address = toSocketAddress(Endpoint::parse("127.0.0.1:0", error));
     setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &socketBufferBytes, sizeof(socketBufferBytes));
     setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &socketBufferBytes, sizeof(socketBufferBytes));
-    if (bind(descriptor, address.get(), address.length) != 0)
-        return -1;
-    listen = localEndpoint(descriptor);
-    const pid_t pid = fork();
-    if (pid == 0)
-        runBareRelay(descriptor, target);
+    std::unique_ptr<ChildProcess> relay;
+    if (bind(descriptor, address.get(), address.length) == 0) {
+        listen = localEndpoint(descriptor);
+        relay = ChildProcess::fork([&] { runBareRelay(descriptor, target); }, error);
+    } else {
+        error = ResultCode::AddressUnavailable;
+    }
     close(descriptor);
-    return pid;
+    return relay;
 }
 
 DaemonPlaces choosePlaces(const std::string& folder)
@@ -87,15 +62,13 @@
     return { folder, place(net, "11:7000"), place(net, "11:7002"), place(net, "1:8080"), place(net, "101:6080") };
 }
 
-pid_t startDaemon(const std::string& program, const DaemonPlaces& places)
+std::unique_ptr<ChildProcess> startDaemon(
+    const std::string& program, const DaemonPlaces& places, std::error_code& error)
 {
     writeSettings(places, places.fabric.address.toString());
-    std::string settings = "--settings=" + places.folder + "/entry.json";
-    std::string configuration = "--configuration=" + places.folder + "/configuration.json";
-    std::string name = program;
-    char* arguments[] = { name.data(), settings.data(), configuration.data(), nullptr };
-    pid_t pid = -1;
-    return posix_spawn(&pid, program.c_str(), nullptr, nullptr, arguments, environ) == 0 ? pid : -1;
+    const std::vector<std::string> arguments { "--settings=" + places.folder + "/entry.json",
+        "--configuration=" + places.folder + "/configuration.json" };
+    return ChildProcess::start(program, arguments, error);
 }
 
 }
--- a/src/bench/forward/forwarder.h
+++ b/src/bench/forward/forwarder.h
@@ -4,33 +4,18 @@
 /// The two processes that the forwarding benchmark compares.
 
 #include "bergamotroute/types.h"
+#include "libbergamotio/child_process.h"
 
+#include <memory>
 #include <string>
-#include <sys/types.h>
+#include <system_error>
 
 namespace bergamotroute {
 
-/// A process that is ended with this object.
-class ChildProcess {
-public:
-    explicit ChildProcess(pid_t pid)
-        : m_pid(pid)
-    {
-    }
-    ~ChildProcess();
-    ChildProcess(const ChildProcess&) = delete;
-    ChildProcess& operator=(const ChildProcess&) = delete;
-
-    /// @return processor time used so far in seconds.
-    double processorSeconds() const;
-
-private:
-    pid_t m_pid;
-};
-
 /// Starts the bare relay.
 /// @param[out] listen where it receives.
-pid_t startBareRelay(const Endpoint& target, Endpoint& listen);
+/// @param[out] error AddressUnavailable or ProcessStartFailed.
+std::unique_ptr<ChildProcess> startBareRelay(const Endpoint& target, Endpoint& listen, std::error_code& error);
 
 /// Addresses and ports of the bergamotd under test.
 struct DaemonPlaces {
@@ -45,6 +30,8 @@
 DaemonPlaces choosePlaces(const std::string& folder);
 
 /// Writes settings and configuration and starts bergamotd alone in its steering group.
-pid_t startDaemon(const std::string& program, const DaemonPlaces& places);
+/// @param[out] error ProcessStartFailed.
+std::unique_ptr<ChildProcess> startDaemon(
+    const std::string& program, const DaemonPlaces& places, std::error_code& error);
 
 }
--- a/src/bench/forward/main.cpp
+++ b/src/bench/forward/main.cpp
@@ -16,7 +16,7 @@
 #include <thread>
 #include <vector>
 
-DEFINE_string(bergamotd, "", "Path of bergamotd.");
+DEFINE_string(bergamotd, "", "Path of bergamotd; empty takes the one beside this program.");
 DEFINE_uint32(rounds, 5, "Rounds; each measures both forwarders.");
 DEFINE_uint32(round_ms, 1000, "Length of a measurement.");
 DEFINE_uint32(senders, 2, "Sending threads; enough of them keep the forwarder's core busy.");
@@ -120,6 +120,9 @@
     return accepted;
 }
 
+/// @return the folder of this program's executable file.
+std::string programFolder() { return std::filesystem::read_symlink("/proc/self/exe").parent_path(); }
+
 double median(std::vector<double> values)
 {
     std::sort(values.begin(), values.end());
@@ -152,8 +155,18 @@
     if (sink.open(places.target))
         return 1;
     Endpoint relayListen;
-    const ChildProcess relay(startBareRelay(places.target, relayListen));
-    const ChildProcess daemon(startDaemon(FLAGS_bergamotd, places));
+    std::error_code error;
+    const std::unique_ptr<ChildProcess> relay = startBareRelay(places.target, relayListen, error);
+    if (!relay) {
+        std::cerr << "bergamot-forward-bench: cannot start the bare relay: " << error.message() << '\n';
+        return 1;
+    }
+    const std::string program = FLAGS_bergamotd.empty() ? programFolder() + "/bergamotd" : FLAGS_bergamotd;
+    const std::unique_ptr<ChildProcess> daemon = startDaemon(program, places, error);
+    if (!daemon) {
+        std::cerr << "bergamot-forward-bench: cannot start " << program << ": " << error.message() << '\n';
+        return 1;
+    }
     if (!announce(places)) {
         std::cerr << "bergamot-forward-bench: bergamotd does not accept the announcement\n";
         return 1;
@@ -164,8 +177,8 @@
     std::vector<Measurement> bare;
     std::vector<Measurement> routed;
     for (std::uint32_t round = 0; round < FLAGS_rounds; ++round) {
-        bare.push_back(measure(relayListen, packets, sink, relay));
-        routed.push_back(measure(places.fabric, packets, sink, daemon));
+        bare.push_back(measure(relayListen, packets, sink, *relay));
+        routed.push_back(measure(places.fabric, packets, sink, *daemon));
     }
     Json::Value result(Json::objectValue);
     result["benchmark"] = "forward";
--- a/src/bergamot-control/operator_routes.cpp
+++ b/src/bergamot-control/operator_routes.cpp
@@ -55,7 +55,7 @@
     add("GET", "/v1/watch", HttpAccess::Token, &ControlDaemon::handleWatch);
     add("GET", "/v1/health", HttpAccess::Open, &ControlDaemon::handleHealth);
     m_http.route("GET", "/v1/state", HttpAccess::Token, [this](const ExchangePointer& exchange) {
-        exchange->reply(HttpStatus::Ok, toJson(m_log->dump(m_loop.now()), false), jsonType);
+        exchange->reply(HttpStatus::Ok, toJson(m_quorum.log().dump(m_loop.now()), false), jsonType);
     });
     m_http.route("GET", "/metrics", HttpAccess::Open, [this](const ExchangePointer& exchange) {
         exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
@@ -71,19 +71,12 @@
             toJson(refusal({}, ResultCode::CommandMalformed, error.message, 0), false), jsonType);
         return;
     }
-    const std::uint64_t token = m_nextToken++;
-    m_commands.emplace(token, exchange);
-    m_log->handleCommand(token, command, m_loop.now(), m_loop.wallMilliseconds());
-    afterEvent();
+    m_quorum.submit(
+        command, [this, exchange](const schema::CommandResult& result) { answerCommand(exchange, result); });
 }
 
-void ControlDaemon::answer(std::uint64_t token, const schema::CommandResult& result)
+void ControlDaemon::answerCommand(const ExchangePointer& exchange, const schema::CommandResult& result)
 {
-    const auto command = m_commands.find(token);
-    if (command == m_commands.end())
-        return;
-    const ExchangePointer exchange = command->second;
-    m_commands.erase(command);
     const HttpStatus status = statusOf(result);
     ++(status == HttpStatus::Ok              ? m_acceptedCommands
             : status == HttpStatus::Conflict ? m_refusedCommands
@@ -93,26 +86,26 @@
 
 void ControlDaemon::handleConfiguration(const ExchangePointer& exchange)
 {
-    const bool valid = m_log->isLeaseValid(m_loop.now());
+    const bool valid = m_quorum.log().isLeaseValid(m_loop.now());
     if (!valid && exchange->query("stale") != "1") {
-        const std::string text = "the lease is not valid here; leader: " + m_log->leader();
+        const std::string text = "the lease is not valid here; leader: " + m_quorum.log().leader();
         exchange->reply(HttpStatus::ServiceUnavailable,
-            toJson(refusal({}, ResultCode::LeaseExpired, text, m_log->configuration().revision()), false), jsonType);
+            toJson(refusal({}, ResultCode::LeaseExpired, text, m_quorum.log().configuration().revision()), false), jsonType);
         return;
     }
     exchange->addHeader(leaseHeader, valid ? "valid" : "expired");
-    exchange->reply(HttpStatus::Ok, toJson(m_log->configuration(), false), jsonType);
+    exchange->reply(HttpStatus::Ok, toJson(m_quorum.log().configuration(), false), jsonType);
 }
 
 void ControlDaemon::handleRequest(const ExchangePointer& exchange)
 {
     const std::string id = exchange->query("id");
-    if (const schema::RememberedResult* known = m_log->findResult(id)) {
+    if (const schema::RememberedResult* known = m_quorum.log().findResult(id)) {
         exchange->reply(HttpStatus::Ok, toJson(known->result(), false), jsonType);
         return;
     }
     schema::CommandResult unknown = refusal(
-        id, ResultCode::UnknownRequest, "not remembered on this control host", m_log->configuration().revision());
+        id, ResultCode::UnknownRequest, "not remembered on this control host", m_quorum.log().configuration().revision());
     unknown.set_outcome(schema::OUTCOME_UNKNOWN);
     exchange->reply(HttpStatus::NotFound, toJson(unknown, false), jsonType);
 }
@@ -121,7 +114,7 @@
 {
     std::string body = "{\"entries\":[";
     const char* separator = "";
-    for (const schema::LogEntry& entry : m_log->history(toNumber(exchange->query("since")))) {
+    for (const schema::LogEntry& entry : m_quorum.log().history(toNumber(exchange->query("since")))) {
         body += separator + toJson(entry, false);
         separator = ",";
     }
@@ -132,10 +125,10 @@
 {
     const std::uint64_t since = toNumber(exchange->query("since"));
     const auto sendCurrent = [this, exchange] {
-        exchange->addHeader(leaseHeader, m_log->isLeaseValid(m_loop.now()) ? "valid" : "expired");
-        exchange->reply(HttpStatus::Ok, toJson(m_log->configuration(), false), jsonType);
+        exchange->addHeader(leaseHeader, m_quorum.log().isLeaseValid(m_loop.now()) ? "valid" : "expired");
+        exchange->reply(HttpStatus::Ok, toJson(m_quorum.log().configuration(), false), jsonType);
     };
-    if (m_log->configuration().revision() > since)
+    if (m_quorum.log().configuration().revision() > since)
         sendCurrent();
     else
         m_watchers.add(since, watchWait, sendCurrent);
@@ -143,7 +136,7 @@
 
 void ControlDaemon::handleHealth(const ExchangePointer& exchange)
 {
-    const bool ready = m_log->isFormed() && m_log->role() != QuorumRole::Stopped && !m_log->leader().empty();
+    const bool ready = m_quorum.log().isFormed() && m_quorum.log().role() != QuorumRole::Stopped && !m_quorum.log().leader().empty();
     exchange->reply(ready ? HttpStatus::Ok : HttpStatus::ServiceUnavailable,
         ready ? "{\"status\":\"ok\"}" : "{\"status\":\"not ready\"}", jsonType);
 }
@@ -162,23 +155,23 @@
             .Add({})
             .Increment(static_cast<double>(value));
     };
-    const schema::ControlHostState state = m_log->dump(m_loop.now());
-    gauge("revision", "Revision of the configuration.", static_cast<double>(m_log->configuration().revision()));
+    const schema::ControlHostState state = m_quorum.log().dump(m_loop.now());
+    gauge("revision", "Revision of the configuration.", static_cast<double>(m_quorum.log().configuration().revision()));
     gauge("term", "Term of the quorum log.", static_cast<double>(state.term()));
     gauge("commit_index", "Last committed entry.", static_cast<double>(state.commit_index()));
     gauge("last_index", "Last entry.", static_cast<double>(state.last_index()));
     gauge("lease_valid", "1 while this host leads with a valid lease.", state.lease_valid() ? 1 : 0);
     gauge("storage_failed", "1 after a failed write or sync.", state.storage_failed() ? 1 : 0);
     gauge("remembered_requests", "Remembered answers.", static_cast<double>(state.remembered_requests()));
-    gauge("log_bytes", "Bytes of the log file.", static_cast<double>(m_storage.logBytes()));
+    gauge("log_bytes", "Bytes of the log file.", static_cast<double>(m_quorum.storage().logBytes()));
     gauge("waiting_watchers", "Calls that wait for a newer revision.", static_cast<double>(m_watchers.size()));
     gauge("rpc_connections", "Open RPC connections to this host.", static_cast<double>(m_rpc.connectionCount()));
     counter("commands_accepted_total", "Commands answered as accepted.", m_acceptedCommands);
     counter("commands_not_accepted_total", "Commands answered as not accepted.", m_refusedCommands);
     counter("commands_unknown_total", "Commands answered as unknown or not entered.", m_unknownCommands);
-    counter("messages_sent_total", "Messages sent to control hosts.", m_links.sentMessages());
-    counter("messages_failed_total", "Messages to control hosts that were not delivered.", m_links.failedMessages());
-    counter("probes_failed_total", "Connections closed because a probe had no answer.", m_links.failedProbes());
+    counter("messages_sent_total", "Messages sent to control hosts.", m_quorum.links().sentMessages());
+    counter("messages_failed_total", "Messages to control hosts that were not delivered.", m_quorum.links().failedMessages());
+    counter("probes_failed_total", "Connections closed because a probe had no answer.", m_quorum.links().failedProbes());
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- /dev/null
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -0,0 +1,259 @@
+#include "bergamot-directory/directory_daemon.h"
+
+#include "libbergamotio/log.h"
+
+#include <algorithm>
+#include <random>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Interval of the daemon's own checks: silent targets, members, contact with the quorum.
+    constexpr Duration checkInterval { 250 };
+    /// A target counts as silent after this many heartbeat intervals.
+    constexpr unsigned silentIntervals = 4;
+    constexpr Duration quorumWithin { 1200 };
+    constexpr Duration memberWithin { 10'000 };
+    /// Time for which a stopping process answers calls that have already arrived.
+    constexpr Duration stopGrace { 300 };
+    /// Entries hold whole documents, so that snapshots are due early.
+    constexpr std::uint32_t snapshotEntries = 32;
+
+    std::string rpcEndpoint(const std::string& address, std::uint32_t port)
+    {
+        return address + ':' + std::to_string(port);
+    }
+
+    /// @return RPC endpoints of the seeds; only their addresses are known, the port is the same everywhere.
+    std::vector<std::string> seedEndpoints(const schema::DirectorySettings& settings)
+    {
+        std::vector<std::string> endpoints;
+        for (const std::string& seed : settings.seeds())
+            endpoints.push_back(rpcEndpoint(seed.substr(0, seed.rfind(':')), settings.internal_port()));
+        return endpoints;
+    }
+
+    QuorumHostOptions makeOptions(const schema::DirectorySettings& settings)
+    {
+        QuorumHostOptions options;
+        options.rpcEndpoint = rpcEndpoint(settings.address(), settings.internal_port());
+        options.quorum.host = settings.host();
+        options.quorum.dataCentre = settings.data_centre();
+        options.quorum.heartbeatInterval = Duration(settings.heartbeat_ms());
+        options.quorum.electionTimeout = Duration(settings.election_timeout_ms());
+        options.quorum.snapshotEntries = snapshotEntries;
+        // Seeds know each other by endpoint, not by name.
+        options.bootstrapName = options.rpcEndpoint;
+        options.dataFolder = settings.data_folder();
+        options.recovers = true;
+        const std::vector<std::string> seeds = seedEndpoints(settings);
+        const bool isSeed = std::find(seeds.begin(), seeds.end(), options.rpcEndpoint) != seeds.end();
+        if (!settings.bootstrap() || !isSeed)
+            return options;
+        for (const std::string& seed : seeds)
+            options.initialMembers.push_back({ seed, seed });
+        return options;
+    }
+
+    schema::ControlHostRecord makeRecord(const schema::DirectorySettings& settings)
+    {
+        schema::ControlHostRecord record;
+        record.set_host(settings.host());
+        record.set_data_centre(settings.data_centre());
+        record.set_rpc_endpoint(rpcEndpoint(settings.address(), settings.internal_port()));
+        record.set_operator_endpoint(settings.operator_listen());
+        return record;
+    }
+
+    RegistryOptions makeRegistryOptions(const schema::DirectorySettings& settings)
+    {
+        RegistryOptions options;
+        options.silentAfter = Duration(settings.target_heartbeat_ms()) * silentIntervals;
+        return options;
+    }
+
+    ResultCode codeOf(TargetEvent event)
+    {
+        switch (event) {
+        case TargetEvent::Draining:
+            return ResultCode::TargetDraining;
+        case TargetEvent::Gone:
+            return ResultCode::TargetGone;
+        case TargetEvent::Silent:
+            return ResultCode::TargetSilent;
+        case TargetEvent::Heard:
+        case TargetEvent::Updated:
+            return ResultCode::TargetHeard;
+        default:
+            return ResultCode::TargetFound;
+        }
+    }
+
+}
+
+DirectoryDaemon::DirectoryDaemon(
+    EventLoop& loop, schema::DirectorySettings settings, const OperatorProtocol& protocol)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_protocol(protocol)
+    , m_registry(makeRegistryOptions(m_settings))
+    , m_quorum(loop, makeOptions(m_settings))
+    , m_exchange(loop, m_registry, makeRecord(m_settings))
+    , m_sync(loop, m_quorum, m_registry, m_exchange)
+    , m_rpc(loop)
+    , m_http(loop)
+    , m_metricsServer(loop)
+    , m_timer(loop, [this] { advance(); })
+    , m_stopTimer(loop, [this] { m_loop.stop(); })
+{
+    m_registry.setObserver(
+        [this](const RegisteredTarget& target, TargetEvent event) { handleTargetEvent(target, event); });
+    m_quorum.configurationAccepted().connect([this] {
+        const schema::Document& document = m_quorum.log().configuration().document();
+        writeLog(LogLevel::Info, ResultCode::DocumentInForce, "document in force",
+            { { "version", std::to_string(document.version()) } });
+        m_sync.notify();
+    });
+}
+
+std::error_code DirectoryDaemon::start()
+{
+    if (const std::error_code error = m_quorum.open())
+        return error;
+    if (const std::error_code error = openListeners())
+        return error;
+    m_exchange.setIdentity(m_quorum.identity());
+    addSeeds(m_settings);
+    m_quorum.serve(m_rpc);
+    m_exchange.serve(m_rpc);
+    m_sync.serve(m_rpc);
+    m_timer.start(checkInterval);
+    writeLog(LogLevel::Info, ResultCode::Ok, "started",
+        { { "identity", m_quorum.identity() }, { "operators", m_settings.operator_listen() },
+            { "version", std::to_string(m_quorum.log().configuration().document().version()) } });
+    return {};
+}
+
+std::error_code DirectoryDaemon::openListeners()
+{
+    std::error_code error;
+    const auto listen = [&error](auto& server, const std::string& text) {
+        const Endpoint endpoint = Endpoint::parse(text, error);
+        if (error || (error = server.listen(endpoint)))
+            writeLog(LogLevel::Error, ResultCode::AddressUnavailable, "cannot listen on " + text);
+        return !error;
+    };
+    if (!listen(m_rpc, rpcEndpoint(m_settings.address(), m_settings.internal_port())))
+        return error;
+    const auto add = [this](const char* method, const std::string& path, auto handler) {
+        m_http.route(method, path, HttpAccess::Open,
+            [this, handler](const ExchangePointer& exchange) { (this->*handler)(exchange); });
+    };
+    add("PUT", m_protocol.documentPath(), &DirectoryDaemon::putDocument);
+    add("GET", m_protocol.documentPath(), &DirectoryDaemon::getDocument);
+    add("PUT", m_protocol.targetPath(), &DirectoryDaemon::putTarget);
+    add("DELETE", m_protocol.targetPath(), &DirectoryDaemon::deleteTarget);
+    if (!listen(m_http, m_settings.operator_listen()))
+        return error;
+    if (m_settings.metrics_port() == 0)
+        return {};
+    m_metricsServer.route("GET", "/metrics", HttpAccess::Open, [this](const ExchangePointer& exchange) {
+        exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
+    });
+    listen(m_metricsServer, rpcEndpoint(m_settings.address(), m_settings.metrics_port()));
+    return error;
+}
+
+void DirectoryDaemon::addSeeds(const schema::DirectorySettings& settings)
+{
+    for (const std::string& endpoint : seedEndpoints(settings))
+        m_exchange.addSeed(endpoint);
+}
+
+void DirectoryDaemon::reload(const schema::DirectorySettings& settings)
+{
+    addSeeds(settings);
+    writeLog(LogLevel::Info, ResultCode::SettingsReloaded, "settings read again",
+        { { "seeds", std::to_string(settings.seeds_size()) } });
+}
+
+void DirectoryDaemon::handleTargetEvent(const RegisteredTarget& target, TargetEvent event)
+{
+    const schema::TargetRecord& record = target.record;
+    writeLog(LogLevel::Info, codeOf(event), "target",
+        { { "target", record.id() }, { "service", record.service() }, { "endpoint", record.endpoint() },
+            { "phase", schema::TargetPhase_Name(record.phase()) }, { "born_ms", std::to_string(record.born_ms()) },
+            { "sequence", std::to_string(record.sequence()) },
+            { "age_ms", std::to_string((m_loop.now() - target.heard).count()) } });
+    m_sync.notify();
+    m_exchange.sendSoon();
+}
+
+void DirectoryDaemon::advance()
+{
+    m_registry.advance(m_loop.now());
+    m_exchange.setIdentity(m_quorum.identity());
+    changeMembers();
+    noteQuorum();
+    m_timer.start(checkInterval);
+}
+
+void DirectoryDaemon::noteQuorum()
+{
+    const bool isCurrent = m_quorum.hasRecentQuorum(quorumWithin);
+    if (std::exchange(m_wasCurrent, isCurrent) == isCurrent)
+        return;
+    writeLog(isCurrent ? LogLevel::Info : LogLevel::Warning,
+        isCurrent ? ResultCode::ControlHostCurrent : ResultCode::ControlHostIsolated,
+        isCurrent ? "hears from a majority" : "does not hear from a majority",
+        { { "leader", m_quorum.log().leader() }, { "term", std::to_string(m_quorum.log().term()) } });
+}
+
+void DirectoryDaemon::changeMembers()
+{
+    const TimePoint now = m_loop.now();
+    if (m_quorum.log().role() != QuorumRole::Leader || !m_quorum.log().isLeaseValid(now)) {
+        m_members.reset();
+        return;
+    }
+    if (m_changePending)
+        return;
+    std::vector<AnnouncedControlHost> announced;
+    for (const schema::ControlHostRecord& record : m_exchange.controlHosts(memberWithin)) {
+        if (!record.identity().empty())
+            announced.push_back(
+                { record.identity(), record.host(), record.rpc_endpoint(), Duration(record.age_ms()) });
+    }
+    const auto step = m_members.advance(m_quorum.log().members(), announced, m_quorum.identity(), now);
+    if (!step)
+        return;
+    static std::mt19937_64 random { std::random_device()() };
+    schema::Command command;
+    command.set_request_id("member-" + std::to_string(random()));
+    *command.add_changes() = step->change;
+    m_changePending = true;
+    writeLog(LogLevel::Info, ResultCode::MemberChanged, step->reason,
+        { { "change", step->change.ShortDebugString() } });
+    m_quorum.submit(command, [this](const schema::CommandResult& result) {
+        m_changePending = false;
+        if (result.outcome() != schema::OUTCOME_ACCEPTED)
+            writeLog(LogLevel::Warning, static_cast<ResultCode>(result.code()), "change of members not accepted",
+                { { "detail", result.message() } });
+    });
+}
+
+void DirectoryDaemon::stop()
+{
+    if (m_stopping) {
+        m_loop.stop();
+        return;
+    }
+    m_stopping = true;
+    writeLog(LogLevel::Info, ResultCode::Ok, "stops",
+        { { "pending", std::to_string(m_quorum.pendingCommands()) } });
+    m_sync.finish();
+    m_stopTimer.start(stopGrace);
+}
+
+}
--- /dev/null
+++ b/src/bergamot-directory/directory_daemon.h
@@ -0,0 +1,93 @@
+#pragma once
+
+/// @file
+/// The control host of cookie steering: the document in force (replicated by the quorum), the registry of targets
+/// (kept in memory, exchanged with the other control hosts) and the answers to entry hosts.
+
+#include "bergamot-directory/directory_exchange.h"
+#include "bergamot-directory/entry_sync.h"
+#include "bergamotroute/member_policy.h"
+#include "bergamotroute/operator_protocol.h"
+#include "bergamotroute/target_registry.h"
+#include "libbergamotio/event_loop.h"
+#include "libbergamotio/http_server.h"
+#include "libbergamotio/quorum_host.h"
+#include "libbergamotio/rpc_server.h"
+
+#include "settings.pb.h"
+
+#include <memory>
+#include <string>
+
+namespace bergamotroute {
+
+/// One control host of a process.
+class DirectoryDaemon {
+public:
+    /// @param protocol outlives the daemon.
+    DirectoryDaemon(EventLoop& loop, schema::DirectorySettings settings, const OperatorProtocol& protocol);
+
+    /// Opens the data folder and the listeners.
+    /// @return the reason why the process cannot start.
+    std::error_code start();
+
+    /// Answers what is pending and stops the loop.
+    void stop();
+
+    /// Takes over settings that may change while the process runs.
+    void reload(const schema::DirectorySettings& settings);
+
+private:
+    using ExchangePointer = std::shared_ptr<HttpExchange>;
+
+    struct Counters {
+        std::uint64_t heartbeats = 0;
+        std::uint64_t heartbeatsRefused = 0;
+        std::uint64_t leaves = 0;
+        std::uint64_t documentsAccepted = 0;
+        std::uint64_t documentsOvertaken = 0;
+        std::uint64_t documentsRefused = 0;
+        std::uint64_t documentsUnknown = 0;
+        std::uint64_t redirects = 0;
+        std::uint64_t reads = 0;
+        std::uint64_t readsRefused = 0;
+    };
+
+    std::error_code openListeners();
+    void addSeeds(const schema::DirectorySettings& settings);
+    void handleTargetEvent(const RegisteredTarget& target, TargetEvent event);
+    void advance();
+    void changeMembers();
+    void noteQuorum();
+
+    void putDocument(const ExchangePointer& exchange);
+    void submitDocument(const ExchangePointer& exchange, std::uint64_t version);
+    void answerDocument(
+        const ExchangePointer& exchange, std::uint64_t version, const schema::CommandResult& result);
+    void getDocument(const ExchangePointer& exchange);
+    void redirectToLeader(const ExchangePointer& exchange);
+    void putTarget(const ExchangePointer& exchange);
+    void deleteTarget(const ExchangePointer& exchange);
+    void replyError(const ExchangePointer& exchange, HttpStatus status, std::string_view message);
+    std::string metrics() const;
+
+    EventLoop& m_loop;
+    schema::DirectorySettings m_settings;
+    const OperatorProtocol& m_protocol;
+    TargetRegistry m_registry;
+    QuorumHost m_quorum;
+    DirectoryExchange m_exchange;
+    EntrySync m_sync;
+    MemberPolicy m_members;
+    RpcServer m_rpc;
+    HttpServer m_http;
+    HttpServer m_metricsServer;
+    Counters m_counters;
+    bool m_changePending = false;
+    bool m_wasCurrent = false;
+    bool m_stopping = false;
+    Timer m_timer;
+    Timer m_stopTimer;
+};
+
+}
--- /dev/null
+++ b/src/bergamot-directory/operator_routes.cpp
@@ -0,0 +1,184 @@
+/// @file
+/// HTTP interface for operators and targets.
+
+#include "bergamot-directory/directory_daemon.h"
+#include "libbergamotio/log.h"
+#include "libbergamotio/metrics.h"
+
+#include <prometheus/registry.h>
+#include <xxhash.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Longest wait for the other control hosts before a drain or leave is acknowledged; a target waits for a second.
+    constexpr Duration spreadLimit { 600 };
+    constexpr const char* jsonType = "application/json";
+
+    std::string idOf(const HttpExchange& exchange) { return exchange.path().substr(exchange.path().rfind('/') + 1); }
+
+}
+
+void DirectoryDaemon::replyError(const ExchangePointer& exchange, HttpStatus status, std::string_view message)
+{
+    exchange->reply(status, m_protocol.errorAnswer(message), jsonType);
+}
+
+void DirectoryDaemon::putDocument(const ExchangePointer& exchange)
+{
+    std::string fault;
+    const std::optional<RoutingDocument> document = m_protocol.documents().read(exchange->body(), fault);
+    if (!document) {
+        ++m_counters.documentsRefused;
+        writeLog(LogLevel::Warning, ResultCode::DocumentMalformed, "document refused",
+            { { "fault", fault }, { "bytes", std::to_string(exchange->body().size()) } });
+        replyError(exchange, HttpStatus::BadRequest, fault);
+        return;
+    }
+    const std::uint64_t inForce = m_quorum.log().configuration().document().version();
+    if (document->version <= inForce) {
+        // What this host has applied is accepted for good, so that it may acknowledge without asking others.
+        ++m_counters.documentsOvertaken;
+        writeLog(LogLevel::Info, ResultCode::DocumentOvertaken, "document acknowledged without effect",
+            { { "version", std::to_string(document->version) }, { "in_force", std::to_string(inForce) } });
+        exchange->reply(HttpStatus::Ok, "{}", jsonType);
+        return;
+    }
+    if (m_quorum.log().role() != QuorumRole::Leader) {
+        redirectToLeader(exchange);
+        return;
+    }
+    submitDocument(exchange, document->version);
+}
+
+void DirectoryDaemon::submitDocument(const ExchangePointer& exchange, std::uint64_t version)
+{
+    schema::Command command;
+    const std::uint64_t hash = XXH3_64bits(exchange->body().data(), exchange->body().size());
+    // The same document gets the same identifier, so that a repeated call is one command.
+    command.set_request_id("document-" + std::to_string(version) + '-' + std::to_string(hash));
+    schema::Document& document = *command.add_changes()->mutable_put_document();
+    document.set_version(version);
+    document.set_content(exchange->body());
+    m_quorum.submit(command, [this, exchange, version](const schema::CommandResult& result) {
+        answerDocument(exchange, version, result);
+    });
+}
+
+void DirectoryDaemon::answerDocument(
+    const ExchangePointer& exchange, std::uint64_t version, const schema::CommandResult& result)
+{
+    const bool accepted = result.outcome() == schema::OUTCOME_ACCEPTED;
+    ++(accepted ? m_counters.documentsAccepted : m_counters.documentsUnknown);
+    writeLog(accepted ? LogLevel::Info : LogLevel::Warning, static_cast<ResultCode>(result.code()),
+        accepted ? "document accepted" : "document has no clear outcome",
+        { { "version", std::to_string(version) }, { "term", std::to_string(m_quorum.log().term()) },
+            { "detail", result.message() } });
+    if (accepted)
+        exchange->reply(HttpStatus::Ok, "{}", jsonType);
+    else
+        replyError(exchange, HttpStatus::ServiceUnavailable, result.message());
+}
+
+void DirectoryDaemon::redirectToLeader(const ExchangePointer& exchange)
+{
+    const schema::ControlHostRecord* leader = m_exchange.findControlHost(m_quorum.log().leader());
+    if (!leader || leader->identity() == m_quorum.identity()) {
+        replyError(exchange, HttpStatus::ServiceUnavailable, "no leader is known");
+        return;
+    }
+    ++m_counters.redirects;
+    exchange->addHeader("Location", "http://" + leader->operator_endpoint() + exchange->path());
+    replyError(exchange, HttpStatus::TemporaryRedirect, "another control host leads");
+}
+
+void DirectoryDaemon::getDocument(const ExchangePointer& exchange)
+{
+    if (m_quorum.log().role() != QuorumRole::Leader) {
+        redirectToLeader(exchange);
+        return;
+    }
+    m_quorum.confirmRead([this, exchange](bool confirmed) {
+        const schema::Document& document = m_quorum.log().configuration().document();
+        if (!confirmed || document.version() == 0) {
+            ++m_counters.readsRefused;
+            writeLog(LogLevel::Warning, ResultCode::NoQuorum, "read refused",
+                { { "confirmed", confirmed ? "true" : "false" }, { "version", std::to_string(document.version()) } });
+            replyError(exchange, HttpStatus::ServiceUnavailable, "cannot tell which document is the newest");
+            return;
+        }
+        ++m_counters.reads;
+        exchange->reply(HttpStatus::Ok, document.content(), jsonType);
+    });
+}
+
+void DirectoryDaemon::putTarget(const ExchangePointer& exchange)
+{
+    std::string fault;
+    const std::string id = idOf(*exchange);
+    const std::optional<schema::TargetRecord> heartbeat = m_protocol.readHeartbeat(id, exchange->body(), fault);
+    if (!heartbeat) {
+        ++m_counters.heartbeatsRefused;
+        writeLog(LogLevel::Warning, ResultCode::AnnouncementMalformed, "heartbeat refused",
+            { { "target", id }, { "fault", fault } });
+        replyError(exchange, HttpStatus::BadRequest, fault);
+        return;
+    }
+    ++m_counters.heartbeats;
+    const TargetEvent event = m_registry.merge(*heartbeat, true, m_loop.now());
+    const auto acknowledge
+        = [this, exchange] { exchange->reply(HttpStatus::Ok, m_protocol.heartbeatAnswer(), jsonType); };
+    if (event == TargetEvent::Draining || event == TargetEvent::Gone)
+        m_exchange.whenSpread(spreadLimit, acknowledge);
+    else
+        acknowledge();
+}
+
+void DirectoryDaemon::deleteTarget(const ExchangePointer& exchange)
+{
+    ++m_counters.leaves;
+    m_registry.remove(idOf(*exchange), m_protocol.readLeave(exchange->body()), m_loop.now());
+    m_exchange.whenSpread(spreadLimit,
+        [this, exchange] { exchange->reply(HttpStatus::Ok, m_protocol.heartbeatAnswer(), jsonType); });
+}
+
+std::string DirectoryDaemon::metrics() const
+{
+    prometheus::Registry registry;
+    const auto add = [&registry](const std::string& name, const std::string& help, double value) {
+        setGauge(registry, "bergamot_directory_" + name, help, value);
+    };
+    add("heartbeats_total", "Heartbeats of targets that were accepted.", static_cast<double>(m_counters.heartbeats));
+    add("heartbeats_refused_total", "Heartbeats that name no target.",
+        static_cast<double>(m_counters.heartbeatsRefused));
+    add("leaves_total", "Targets that said that they are gone.", static_cast<double>(m_counters.leaves));
+    add("documents_accepted_total", "Documents that came into force.",
+        static_cast<double>(m_counters.documentsAccepted));
+    add("documents_overtaken_total", "Documents acknowledged without effect.",
+        static_cast<double>(m_counters.documentsOvertaken));
+    add("documents_refused_total", "Invalid documents.", static_cast<double>(m_counters.documentsRefused));
+    add("documents_unknown_total", "Documents without a clear outcome.",
+        static_cast<double>(m_counters.documentsUnknown));
+    add("redirects_total", "Calls sent on to the leader.", static_cast<double>(m_counters.redirects));
+    add("reads_total", "Reads of the document that were answered.", static_cast<double>(m_counters.reads));
+    add("reads_refused_total", "Reads refused because the newest version was not certain.",
+        static_cast<double>(m_counters.readsRefused));
+    add("document_version", "Version in force on this host.",
+        static_cast<double>(m_quorum.log().configuration().document().version()));
+    add("term", "Term of the quorum.", static_cast<double>(m_quorum.log().term()));
+    add("leads", "One if this host leads the quorum.", m_quorum.log().role() == QuorumRole::Leader ? 1 : 0);
+    add("members", "Members of the quorum.", static_cast<double>(m_quorum.log().members().size()));
+    add("targets", "Targets in the registry.", static_cast<double>(m_registry.targets().size()));
+    add("waiting_entry_calls", "Calls of entry hosts that wait for news.",
+        static_cast<double>(m_sync.waitingCalls()));
+    add("failed_exchanges_total", "Exchanges with control hosts that failed.",
+        static_cast<double>(m_exchange.failedCalls()));
+    add("log_lines_dropped_total", "Log lines dropped because the reader was too slow.",
+        static_cast<double>(logCounters().dropped));
+    add("log_lines_suppressed_total", "Log lines above the limit of their code.",
+        static_cast<double>(logCounters().suppressed));
+    return serializeMetrics(registry);
+}
+
+}
--- /dev/null
+++ b/src/bergamot-entry/control_link.cpp
@@ -0,0 +1,111 @@
+#include "bergamot-entry/control_link.h"
+
+#include "libbergamotio/log.h"
+
+namespace bergamotroute {
+
+namespace {
+
+    constexpr const char* syncPath = "/rpc/entry";
+    /// How long a control host may hold a call without news. Short, because a call that hangs is noticed only after it,
+    /// and two control hosts that hang one after the other must not delay news beyond the propagation bound of 3 s.
+    constexpr Duration longestHold { 800 };
+    constexpr Duration callDeadline { 1250 };
+    /// Pause after a failed call, so that an entry host without any control host does not spin.
+    constexpr Duration failurePause { 40 };
+    /// Pause between calls to a control host that does not hear from a majority.
+    constexpr Duration isolatedPause { 200 };
+
+}
+
+ControlLink::ControlLink(EventLoop& loop, schema::EntryHostRecord self, Handler handler)
+    : m_loop(loop)
+    , m_self(std::move(self))
+    , m_handler(std::move(handler))
+    , m_selector(m_self.host(), m_self.data_centre())
+    , m_lastCurrent(loop.now())
+    , m_callTimer(loop, [this] { call(); })
+{
+}
+
+void ControlLink::addControlHost(const std::string& endpoint, const std::string& dataCentre)
+{
+    m_selector.learn(endpoint, dataCentre);
+}
+
+void ControlLink::start() { m_callTimer.start(Duration(0)); }
+
+RpcClient* ControlLink::clientFor(const std::string& endpoint)
+{
+    std::unique_ptr<RpcClient>& client = m_clients[endpoint];
+    if (client)
+        return client.get();
+    std::error_code error;
+    const Endpoint parsed = Endpoint::parse(endpoint, error);
+    if (error)
+        return nullptr;
+    RpcClientOptions options;
+    options.probeTimeout = callDeadline;
+    options.backoffMax = longestHold;
+    client = std::make_unique<RpcClient>(m_loop, parsed, options);
+    return client.get();
+}
+
+void ControlLink::call()
+{
+    const std::string endpoint = m_selector.choose(m_loop.now());
+    RpcClient* client = endpoint.empty() ? nullptr : clientFor(endpoint);
+    if (!client) {
+        m_callTimer.start(longestHold);
+        return;
+    }
+    schema::EntrySyncRequest request;
+    *request.mutable_sender() = m_self;
+    request.set_document_version(m_documentVersion);
+    request.set_seen_epoch(m_seenEpoch);
+    request.set_seen_change(m_seenChange);
+    request.set_seen_entry_hosts(m_seenEntryHosts);
+    request.set_wait_ms(static_cast<std::uint32_t>(longestHold.count()));
+    client->call(syncPath, request.SerializeAsString(), callDeadline,
+        [this, endpoint](const RpcResult& result) { handleResult(endpoint, result); });
+}
+
+void ControlLink::fail(const std::string& endpoint, const std::string& reason)
+{
+    ++m_failedCalls;
+    m_selector.noteFailure(endpoint, m_loop.now());
+    if (std::exchange(m_isConnected, false))
+        writeLog(LogLevel::Warning, ResultCode::ControlHostLost, "control host lost",
+            { { "endpoint", endpoint }, { "reason", reason }, { "version", std::to_string(m_documentVersion) } });
+    m_callTimer.start(failurePause);
+}
+
+void ControlLink::handleResult(const std::string& endpoint, const RpcResult& result)
+{
+    schema::EntrySyncAnswer answer;
+    if (!result.succeeded()) {
+        fail(endpoint, result.error ? result.error.message() : "status " + std::to_string(result.status));
+        return;
+    }
+    if (!answer.ParseFromString(result.body)) {
+        fail(endpoint, "the answer cannot be read");
+        return;
+    }
+    m_selector.noteAnswer(endpoint, answer.isolated(), m_loop.now());
+    if (!std::exchange(m_isConnected, true))
+        writeLog(LogLevel::Info, ResultCode::ControlHostRegained, "control host answers",
+            { { "endpoint", endpoint }, { "isolated", answer.isolated() ? "true" : "false" },
+                { "version", std::to_string(m_documentVersion) } });
+    m_hasAnswered = m_hasAnswered || !answer.isolated();
+    if (!answer.isolated())
+        m_lastCurrent = m_loop.now();
+    m_seenEpoch = answer.epoch();
+    m_seenChange = answer.change();
+    m_seenEntryHosts = answer.entry_hosts_fingerprint();
+    for (const schema::ControlHostRecord& host : answer.control_hosts())
+        m_selector.learn(host.rpc_endpoint(), host.data_centre());
+    m_handler(answer);
+    m_callTimer.start(answer.isolated() ? isolatedPause : Duration(0));
+}
+
+}
--- /dev/null
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -0,0 +1,374 @@
+#include "bergamot-entry/cookie_entry_daemon.h"
+
+#include "libbergamotio/log.h"
+#include "libbergamotio/metrics.h"
+
+#include <algorithm>
+#include <prometheus/registry.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Largest datagram: a packet of 1,500 bytes and its prefix, with room to spare.
+    constexpr std::size_t datagramBytes = 2048;
+    constexpr std::size_t reportBytes = 8192;
+    constexpr unsigned mostBatchesPerTurn = 4;
+    constexpr Duration checkInterval { 1000 };
+    /// Shortest time between load reports, and the addition for each host that gets them.
+    constexpr Duration reportInterval { 60 };
+    constexpr Duration reportIntervalPerPeer { 10 };
+    /// Part of the grace time for which a stopping host forwards.
+    constexpr double forwardingShare = 0.75;
+    constexpr Duration longestForwarding { 4500 };
+
+    Endpoint parseEndpoint(const std::string& text)
+    {
+        std::error_code error;
+        return Endpoint::parse(text, error);
+    }
+
+    Duration toDuration(double seconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+
+    std::string hostAndPort(const std::string& address, std::uint32_t port)
+    {
+        return address + ':' + std::to_string(port);
+    }
+
+    Endpoint toEndpoint(std::uint32_t address, std::uint16_t port)
+    {
+        const std::array<std::uint8_t, 4> octets { static_cast<std::uint8_t>(address >> 24),
+            static_cast<std::uint8_t>(address >> 16), static_cast<std::uint8_t>(address >> 8),
+            static_cast<std::uint8_t>(address) };
+        return { IpAddress::fromV4(octets), port };
+    }
+
+    CookieSteeringOptions makeOptions(const schema::CookieEntrySettings& settings, TargetNumber targetNumber)
+    {
+        CookieSteeringOptions options;
+        options.host = settings.host();
+        options.dataCentre = settings.data_centre();
+        options.targetNumber = targetNumber;
+        options.longestFlow = toDuration(settings.longest_flow_seconds());
+        return options;
+    }
+
+    RegistryOptions makeRegistryOptions(const schema::CookieEntrySettings& settings)
+    {
+        RegistryOptions options;
+        // Control hosts say which targets are silent; the copy here must never decide on its own.
+        options.copiesSilence = true;
+        options.forgetAfter = 2 * toDuration(settings.longest_flow_seconds());
+        return options;
+    }
+
+    schema::EntryHostRecord makeRecord(const schema::CookieEntrySettings& settings)
+    {
+        schema::EntryHostRecord record;
+        record.set_host(settings.host());
+        record.set_data_centre(settings.data_centre());
+        record.set_peer_endpoint(hostAndPort(settings.address(), settings.internal_port()));
+        return record;
+    }
+
+    std::string describeFlow(const FlowId& flow)
+    {
+        return toEndpoint(flow.clientAddress, flow.clientPort).toString() + '>'
+            + toEndpoint(flow.serviceAddress, flow.servicePort).toString();
+    }
+
+}
+
+CookieEntryDaemon::CookieEntryDaemon(EventLoop& loop, schema::CookieEntrySettings settings, EntryAdapter adapter)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_adapter(std::move(adapter))
+    , m_steering(makeOptions(m_settings, m_adapter.targetNumber))
+    , m_registry(makeRegistryOptions(m_settings))
+    , m_link(loop, makeRecord(m_settings), [this](const schema::EntrySyncAnswer& answer) { handleAnswer(answer); })
+    , m_packets(datagramBytes)
+    , m_reports(reportBytes)
+    , m_readiness(loop)
+    , m_metricsServer(loop)
+    , m_packetEndpoint(parseEndpoint(m_settings.packet_listen()))
+    , m_timer(loop,
+          [this] {
+              m_steering.advance(m_loop.now());
+              m_timer.start(checkInterval);
+          })
+    , m_reportTimer(loop, [this] { sendReport(); })
+    , m_stopTimer(loop, [this] { m_loop.stop(); })
+{
+    m_registry.setObserver(
+        [this](const RegisteredTarget& target, TargetEvent event) { handleTargetEvent(target, event); });
+}
+
+std::error_code CookieEntryDaemon::start()
+{
+    if (const std::error_code error = openListeners())
+        return error;
+    addSeeds(m_settings);
+    m_link.start();
+    m_timer.start(checkInterval);
+    m_reportTimer.start(reportInterval);
+    writeLog(LogLevel::Info, ResultCode::Ok, "started", { { "packets", m_settings.packet_listen() } });
+    return {};
+}
+
+std::error_code CookieEntryDaemon::openListeners()
+{
+    std::error_code error;
+    const auto check = [&error](const std::string& text) {
+        if (error)
+            writeLog(LogLevel::Error, ResultCode::AddressUnavailable, "cannot listen on " + text);
+        return !error;
+    };
+    const std::string peerText = hostAndPort(m_settings.address(), m_settings.internal_port());
+    error = m_packets.open(m_packetEndpoint);
+    if (!check(m_settings.packet_listen()))
+        return error;
+    error = m_reports.open(parseEndpoint(peerText));
+    if (!check(peerText))
+        return error;
+    m_packetWatch = std::make_unique<ReadWatch>(m_loop, m_packets.descriptor(), [this] { receivePackets(); });
+    m_reportWatch = std::make_unique<ReadWatch>(m_loop, m_reports.descriptor(), [this] { receiveReports(); });
+    m_readiness.route(
+        "GET", m_adapter.readinessPath, HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
+            exchange->reply(isReady() ? HttpStatus::Ok : HttpStatus::ServiceUnavailable, "{}", "application/json");
+        });
+    error = m_readiness.listen(parseEndpoint(m_settings.readiness_listen()));
+    if (!check(m_settings.readiness_listen()) || m_settings.metrics_port() == 0)
+        return error;
+    m_metricsServer.route(
+        "GET", "/metrics", HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
+            exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
+        });
+    const std::string metricsText = hostAndPort(m_settings.address(), m_settings.metrics_port());
+    error = m_metricsServer.listen(parseEndpoint(metricsText));
+    check(metricsText);
+    return error;
+}
+
+void CookieEntryDaemon::addSeeds(const schema::CookieEntrySettings& settings)
+{
+    for (const std::string& seed : settings.seeds())
+        m_link.addControlHost(hostAndPort(seed.substr(0, seed.rfind(':')), settings.internal_port()), {});
+}
+
+void CookieEntryDaemon::reload(const schema::CookieEntrySettings& settings)
+{
+    addSeeds(settings);
+    writeLog(LogLevel::Info, ResultCode::SettingsReloaded, "settings read again",
+        { { "seeds", std::to_string(settings.seeds_size()) } });
+}
+
+void CookieEntryDaemon::handleAnswer(const schema::EntrySyncAnswer& answer)
+{
+    if (answer.has_document())
+        installDocument(answer.document());
+    for (const schema::TargetRecord& record : answer.targets())
+        m_registry.merge(record, false, m_loop.now());
+    if (answer.entry_hosts_size() > 0) {
+        m_peers.clear();
+        for (const schema::EntryHostRecord& host : answer.entry_hosts()) {
+            if (host.host() != m_settings.host())
+                m_peers.push_back(parseEndpoint(host.peer_endpoint()));
+        }
+    }
+    if (!m_wasReady && isReady()) {
+        m_wasReady = true;
+        writeLog(LogLevel::Info, ResultCode::Ok, "ready",
+            { { "version", std::to_string(m_steering.documentVersion()) },
+                { "targets", std::to_string(m_registry.targets().size()) } });
+    }
+}
+
+void CookieEntryDaemon::installDocument(const schema::Document& document)
+{
+    std::string fault;
+    std::optional<RoutingDocument> routes = m_adapter.documents.read(document.content(), fault);
+    if (!routes) {
+        writeLog(LogLevel::Error, ResultCode::DocumentMalformed, "document cannot be read",
+            { { "version", std::to_string(document.version()) }, { "fault", fault } });
+        return;
+    }
+    const std::uint64_t former = m_steering.documentVersion();
+    const std::size_t count = routes->routes.size();
+    if (!m_steering.installDocument(std::move(*routes)))
+        return;
+    m_link.setDocumentVersion(document.version());
+    writeLog(LogLevel::Info, ResultCode::DocumentInForce, "document in force",
+        { { "version", std::to_string(document.version()) }, { "former_version", std::to_string(former) },
+            { "routes", std::to_string(count) } });
+}
+
+void CookieEntryDaemon::handleTargetEvent(const RegisteredTarget& target, TargetEvent event)
+{
+    m_steering.updateTarget(target, m_loop.now());
+    const ResultCode code = event == TargetEvent::Draining ? ResultCode::TargetDraining
+        : event == TargetEvent::Gone                       ? ResultCode::TargetGone
+        : target.silent                                    ? ResultCode::TargetSilent
+        : event == TargetEvent::Found                      ? ResultCode::TargetFound
+                                                           : ResultCode::TargetHeard;
+    writeLog(LogLevel::Info, code, "target",
+        { { "target", target.record.id() }, { "service", target.record.service() },
+            { "endpoint", target.record.endpoint() }, { "born_ms", std::to_string(target.record.born_ms()) },
+            { "sequence", std::to_string(target.record.sequence()) },
+            { "age_ms", std::to_string((m_loop.now() - target.heard).count()) } });
+}
+
+bool CookieEntryDaemon::isReady() const
+{
+    return !m_stopping && m_steering.documentVersion() > 0 && !m_registry.targets().empty();
+}
+
+void CookieEntryDaemon::receivePackets()
+{
+    for (unsigned batch = 0; batch < mostBatchesPerTurn; ++batch) {
+        const std::size_t count = m_packets.receive(
+            [this](std::span<const std::byte> datagram, const Endpoint&) { handleDatagram(datagram); });
+        if (count < UdpSocket::batchSize)
+            break;
+    }
+    m_packets.flush();
+}
+
+void CookieEntryDaemon::handleDatagram(std::span<const std::byte> datagram)
+{
+    ++m_traffic.received;
+    const std::optional<FlowPacket> packet = m_adapter.codec.parse(datagram);
+    if (!packet) {
+        ++m_traffic.unreadable;
+        return;
+    }
+    const SteeringDecision decision = m_steering.handlePacket(*packet, m_loop.now());
+    switch (decision.action) {
+    case SteeringAction::Forward:
+        forward(*packet, datagram, decision);
+        break;
+    case SteeringAction::Reset:
+        reset(*packet, decision);
+        break;
+    case SteeringAction::Drop:
+        ++m_traffic.dropped;
+        break;
+    }
+    if (decision.code != ResultCode::Ok)
+        logDecision(*packet, decision);
+}
+
+void CookieEntryDaemon::forward(
+    const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision)
+{
+    ++m_traffic.forwarded;
+    const std::vector<std::byte> prefix = m_adapter.codec.targetPrefix(decision.targetNumber);
+    if (packet.cookie == decision.cookie) {
+        m_packets.queue(decision.endpoint, prefix, datagram);
+        return;
+    }
+    m_scratch.assign(datagram.begin(), datagram.end());
+    m_adapter.codec.writeCookie(m_scratch, decision.cookie);
+    m_packets.queue(decision.endpoint, prefix, m_scratch);
+}
+
+void CookieEntryDaemon::reset(const FlowPacket& packet, const SteeringDecision& decision)
+{
+    ++m_traffic.resets;
+    const std::vector<std::byte> answer = m_adapter.codec.makeReset(packet.flow, decision.resetSequence);
+    m_packets.queue(toEndpoint(packet.flow.clientAddress, m_packetEndpoint.port), {}, answer);
+}
+
+void CookieEntryDaemon::logDecision(const FlowPacket& packet, const SteeringDecision& decision) const
+{
+    const bool isUsual = decision.code == ResultCode::FlowPlaced;
+    std::array<char, 16> cost {};
+    std::snprintf(cost.data(), cost.size(), "%.2f", decision.cost);
+    writeLog(isUsual ? LogLevel::Info : LogLevel::Warning, decision.code, "flow",
+        { { "flow", describeFlow(packet.flow) }, { "route", std::string(decision.route) },
+            { "service", std::string(decision.service) }, { "target", std::string(decision.target) },
+            { "cost", cost.data() }, { "candidates", std::to_string(decision.candidates) },
+            { "copy", std::to_string(decision.copy) },
+            { "version", std::to_string(m_steering.documentVersion()) },
+            { "view_age_ms", std::to_string(m_link.sinceCurrent().count()) } });
+}
+
+void CookieEntryDaemon::receiveReports()
+{
+    m_reports.receive([this](std::span<const std::byte> datagram, const Endpoint&) {
+        schema::TargetLoadReport report;
+        if (report.ParseFromArray(datagram.data(), static_cast<int>(datagram.size())))
+            m_steering.handleReport(report, m_loop.now());
+    });
+}
+
+void CookieEntryDaemon::sendReport()
+{
+    if (!m_peers.empty()) {
+        const std::string bytes = m_steering.makeReport().SerializeAsString();
+        for (const Endpoint& peer : m_peers)
+            m_reports.queue(peer, {}, std::as_bytes(std::span(bytes)));
+        m_reports.flush();
+    }
+    m_reportTimer.start(reportInterval + reportIntervalPerPeer * static_cast<int>(m_peers.size()));
+}
+
+void CookieEntryDaemon::stop()
+{
+    if (m_stopping) {
+        m_loop.stop();
+        return;
+    }
+    m_stopping = true;
+    const Duration forwarding
+        = std::min(longestForwarding, toDuration(m_settings.grace_seconds() * forwardingShare));
+    writeLog(LogLevel::Info, ResultCode::Ok, "stops",
+        { { "flows", std::to_string(m_steering.flowCount()) },
+            { "forwards_ms", std::to_string(forwarding.count()) } });
+    m_stopTimer.start(forwarding);
+}
+
+std::string CookieEntryDaemon::metrics() const
+{
+    prometheus::Registry registry;
+    const auto add = [&registry](const std::string& name, const std::string& help, double value) {
+        setGauge(registry, "bergamot_entry_" + name, help, value);
+    };
+    const SteeringCounters& counters = m_steering.counters();
+    add("packets_received_total", "Packets from clients.", static_cast<double>(m_traffic.received));
+    add("packets_unreadable_total", "Datagrams that are no packets.", static_cast<double>(m_traffic.unreadable));
+    add("packets_forwarded_total", "Packets sent to targets.", static_cast<double>(m_traffic.forwarded));
+    add("packets_dropped_total", "Packets dropped.", static_cast<double>(m_traffic.dropped));
+    add("send_errors_total", "Datagrams that the system did not take.",
+        static_cast<double>(m_packets.sendErrors() + m_reports.sendErrors()));
+    add("resets_total", "Flows refused or ended by this host.", static_cast<double>(m_traffic.resets));
+    add("first_packets_total", "First packets of flows, copies included.",
+        static_cast<double>(counters.firstPackets));
+    add("flows_placed_total", "Flows given a target.", static_cast<double>(counters.placed));
+    add("flows_placed_again_total", "Flows given another target after a repeated first packet.",
+        static_cast<double>(counters.placedAgain));
+    add("flows_route_unknown_total", "First packets without a route.", static_cast<double>(counters.routeUnknown));
+    add("flows_no_target_total", "First packets without a target.", static_cast<double>(counters.noTarget));
+    add("flows_overload_total", "First packets refused because of load.", static_cast<double>(counters.overload));
+    add("packets_target_gone_total", "Packets for targets that are gone.", static_cast<double>(counters.targetGone));
+    add("packets_cookie_unknown_total", "Packets with a cookie of no known target.",
+        static_cast<double>(counters.cookieUnknown));
+    add("targets_avoided_total", "Times a target was avoided because first packets got no answer.",
+        static_cast<double>(counters.avoidedTargets));
+    add("flows", "Flows remembered.", static_cast<double>(m_steering.flowCount()));
+    add("document_version", "Version in force on this host.", static_cast<double>(m_steering.documentVersion()));
+    add("view_age_seconds", "Time since the last answer of a control host that hears from a majority.",
+        std::chrono::duration<double>(m_link.sinceCurrent()).count());
+    add("control_calls_failed_total", "Calls to control hosts that failed.",
+        static_cast<double>(m_link.failedCalls()));
+    add("ready", "One if the readiness page answers 200.", isReady() ? 1 : 0);
+    add("log_lines_dropped_total", "Log lines dropped because the reader was too slow.",
+        static_cast<double>(logCounters().dropped));
+    add("log_lines_suppressed_total", "Log lines above the limit of their code.",
+        static_cast<double>(logCounters().suppressed));
+    return serializeMetrics(registry);
+}
+
+}
--- /dev/null
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -0,0 +1,93 @@
+#pragma once
+
+/// @file
+/// The entry host of cookie steering: the shell around CookieSteering.
+
+#include "bergamot-entry/control_link.h"
+#include "bergamotroute/cookie_steering.h"
+#include "libbergamotio/event_loop.h"
+#include "libbergamotio/http_server.h"
+#include "libbergamotio/udp_socket.h"
+
+#include "settings.pb.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bergamotroute {
+
+/// What an adapter gives to an entry host.
+struct EntryAdapter {
+    const FlowPacketCodec& codec;
+    const DocumentReader& documents;
+    TargetNumber targetNumber;
+    /// Path of the readiness page.
+    std::string readinessPath;
+};
+
+/// Runs one entry host on an event loop.
+class CookieEntryDaemon {
+public:
+    /// @param adapter what it refers to outlives the daemon.
+    CookieEntryDaemon(EventLoop& loop, schema::CookieEntrySettings settings, EntryAdapter adapter);
+
+    /// Opens the listeners and begins to call control hosts.
+    /// @return the reason why the process cannot start.
+    std::error_code start();
+
+    /// Withdraws the readiness, forwards until the fabric has turned away, then stops the loop.
+    void stop();
+
+    /// Takes over settings that may change while the process runs.
+    void reload(const schema::CookieEntrySettings& settings);
+
+private:
+    struct Traffic {
+        std::uint64_t received = 0;
+        std::uint64_t unreadable = 0;
+        std::uint64_t forwarded = 0;
+        std::uint64_t resets = 0;
+        std::uint64_t dropped = 0;
+    };
+
+    std::error_code openListeners();
+    void addSeeds(const schema::CookieEntrySettings& settings);
+    void handleAnswer(const schema::EntrySyncAnswer& answer);
+    void installDocument(const schema::Document& document);
+    void handleTargetEvent(const RegisteredTarget& target, TargetEvent event);
+    void receivePackets();
+    void handleDatagram(std::span<const std::byte> datagram);
+    void forward(const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision);
+    void reset(const FlowPacket& packet, const SteeringDecision& decision);
+    void logDecision(const FlowPacket& packet, const SteeringDecision& decision) const;
+    void receiveReports();
+    void sendReport();
+    bool isReady() const;
+    std::string metrics() const;
+
+    EventLoop& m_loop;
+    schema::CookieEntrySettings m_settings;
+    EntryAdapter m_adapter;
+    CookieSteering m_steering;
+    TargetRegistry m_registry;
+    ControlLink m_link;
+    UdpSocket m_packets;
+    UdpSocket m_reports;
+    std::unique_ptr<ReadWatch> m_packetWatch;
+    std::unique_ptr<ReadWatch> m_reportWatch;
+    HttpServer m_readiness;
+    HttpServer m_metricsServer;
+    std::vector<Endpoint> m_peers;
+    std::vector<std::byte> m_scratch;
+    std::string m_lastReport;
+    Endpoint m_packetEndpoint;
+    Traffic m_traffic;
+    bool m_stopping = false;
+    bool m_wasReady = false;
+    Timer m_timer;
+    Timer m_reportTimer;
+    Timer m_stopTimer;
+};
+
+}
--- /dev/null
+++ b/src/include/bergamotroute/host_directory.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/// @file
+/// Hosts that announce themselves, with the time of their last announcement. Ages are passed on instead of times.
+
+#include "bergamotroute/clock.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bergamotroute {
+
+/// Directory of one kind of host.
+/// @tparam Record a schema message with the field age_ms.
+template <class Record> class HostDirectory {
+public:
+    /// Takes over a record if it is newer than what is known.
+    /// @return true if the host was not known.
+    bool merge(const std::string& key, const Record& record, TimePoint now)
+    {
+        const TimePoint heard = now - Duration(record.age_ms());
+        const auto [found, isNew] = m_hosts.try_emplace(key, Item { record, heard });
+        if (!isNew && heard > found->second.heard)
+            found->second = { record, heard };
+        return isNew;
+    }
+
+    /// @return records heard within a time, with their present ages.
+    std::vector<Record> records(Duration within, TimePoint now) const
+    {
+        std::vector<Record> result;
+        for (const auto& [key, item] : m_hosts) {
+            const Duration age = std::max(Duration(0), now - item.heard);
+            if (age >= within)
+                continue;
+            result.push_back(item.record);
+            result.back().set_age_ms(static_cast<std::uint32_t>(age.count()));
+        }
+        return result;
+    }
+
+    /// @return the record, or null.
+    const Record* find(const std::string& key) const
+    {
+        const auto found = m_hosts.find(key);
+        return found == m_hosts.end() ? nullptr : &found->second.record;
+    }
+
+    /// Forgets hosts that have not been heard for a time.
+    void expire(Duration after, TimePoint now)
+    {
+        std::erase_if(m_hosts, [after, now](const auto& item) { return now - item.second.heard >= after; });
+    }
+
+private:
+    struct Item {
+        Record record;
+        TimePoint heard;
+    };
+
+    std::map<std::string, Item> m_hosts;
+};
+
+}
--- a/src/include/bergamotroute/quorum_log.h
+++ b/src/include/bergamotroute/quorum_log.h
@@ -127,7 +127,18 @@
     /// @return true while this host leads and no other host can lead: what it reads is the newest accepted state.
     bool isLeaseValid(TimePoint now) const;
 
+    /// Sends a heartbeat to all members at once if this host leads, so that isConfirmedAfter() can become true.
+    void sendHeartbeat(TimePoint now);
+
+    /// @return true if this host leads, has applied everything of earlier terms, and a majority has answered a
+    /// heartbeat that was sent after a time. What it reads was then the newest accepted state at that time.
+    bool isConfirmedAfter(TimePoint time) const;
+
+    /// @return true if a leader, or as leader a majority, was heard within a time.
+    bool hasQuorumContact(Duration within, TimePoint now) const;
+
     QuorumRole role() const;
+    std::uint64_t term() const;
     const schema::Configuration& configuration() const;
 
     /// @return members in force on this host, which may not be committed yet.
--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -40,6 +40,13 @@
     TargetLeaseEnded = 306,
     TargetUnhealthy = 307,
     TargetRemoved = 308,
+    TargetFound = 309,
+    TargetDraining = 310,
+    TargetGone = 311,
+    TargetSilent = 312,
+    TargetHeard = 313,
+    TargetUnresponsive = 314,
+    TargetResponsive = 315,
 
     // 4xx: configuration commands
     CommandMalformed = 400,
@@ -58,6 +65,9 @@
     MemberNotCaughtUp = 413,
     InvalidValue = 414,
     RequestIdReused = 415,
+    DocumentMalformed = 416,
+    DocumentInForce = 417,
+    DocumentOvertaken = 418,
 
     // 5xx: control hosts
     NotLeader = 500,
@@ -68,6 +78,12 @@
     LogDamaged = 505,
     LogTornRecordCut = 506,
     IdentityRetired = 507,
+    LeaderElected = 508,
+    MemberChanged = 509,
+    StorageRecovered = 510,
+    ControlHostFound = 511,
+    ControlHostIsolated = 512,
+    ControlHostCurrent = 513,
 
     // 6xx: entry hosts
     HostDead = 600,
@@ -81,6 +97,17 @@
     FlowSilentEnded = 608,
     PeerMessageMalformed = 609,
     NotReady = 610,
+    FlowPlaced = 611,
+    FlowPlacedAgain = 612,
+    FlowRouteUnknown = 613,
+    FlowNoTarget = 614,
+    FlowOverload = 615,
+    FlowTargetGone = 616,
+    FlowCookieUnknown = 617,
+    ControlHostLost = 618,
+    ControlHostRegained = 619,
+    SettingsReloaded = 620,
+    LogLinesDropped = 621,
 
     // 7xx: transport and operators' interface
     Unauthorized = 700,
@@ -98,6 +125,7 @@
     ManifestMalformed = 802,
     UsageError = 803,
     WaitTimedOut = 804,
+    ProcessStartFailed = 805,
 };
 
 /// One row of the result code table.
--- a/src/libbergamot/configuration/change.cpp
+++ b/src/libbergamot/configuration/change.cpp
@@ -233,6 +233,15 @@
         return {};
     }
 
+    CommandVerdict putDocument(Configuration& configuration, const schema::Document& document)
+    {
+        if (document.version() == 0)
+            return refuse(ResultCode::DocumentMalformed, "a document has a version above zero");
+        if (document.version() > configuration.document().version())
+            *configuration.mutable_document() = document;
+        return {};
+    }
+
     CommandVerdict removeMember(Configuration& configuration, const std::string& identity)
     {
         const schema::ControlMember* member = findMember(configuration, identity);
@@ -273,6 +282,8 @@
         return promoteMember(configuration, change.promote_control_member());
     case schema::Change::kRemoveControlMember:
         return removeMember(configuration, change.remove_control_member());
+    case schema::Change::kPutDocument:
+        return putDocument(configuration, change.put_document());
     case schema::Change::CHANGE_NOT_SET:
         break;
     }
--- /dev/null
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -0,0 +1,233 @@
+#include "bergamotroute/cookie_steering.h"
+
+#include "cookie/flow_table.h"
+#include "cookie/placement.h"
+#include "cookie/target_pool.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Shortest and longest time without new flows for a target that does not answer first packets; doubles in between.
+    constexpr Duration shortestAvoidance { 600 };
+    constexpr Duration longestAvoidance { 4800 };
+    /// A target that is gone may still end its last answers; its flows are reset only after this time.
+    constexpr Duration resetDelayAfterGone { 300 };
+    /// Repeated first packets from this number on go to another target in any case.
+    constexpr std::uint32_t lastCopyToSameTarget = 1;
+
+}
+
+std::uint64_t hashFlow(const FlowId& flow, std::uint64_t seed)
+{
+    const std::array<std::uint32_t, 3> words { flow.clientAddress, flow.serviceAddress,
+        (std::uint32_t { flow.clientPort } << 16) | flow.servicePort };
+    return XXH3_64bits_withSeed(words.data(), sizeof(words), seed);
+}
+
+class CookieSteering::Implementation {
+public:
+    explicit Implementation(CookieSteeringOptions steeringOptions)
+        : options(std::move(steeringOptions))
+        , pool(options.targetNumber)
+        , flows(options.flowCapacity)
+        , placement({}, options.host, options.dataCentre)
+    {
+    }
+
+    SteeringDecision handleFirst(const FlowPacket& packet, TimePoint now);
+    SteeringDecision handleLater(const FlowPacket& packet, TimePoint now);
+    SteeringDecision place(
+        const FlowPacket& packet, const std::string& service, const PooledTarget* excluded, TimePoint now);
+    static SteeringDecision forwardTo(const PooledTarget& target, ResultCode code);
+    static SteeringDecision refuse(const FlowPacket& packet, ResultCode code);
+    void avoid(PooledTarget& target, TimePoint now);
+    static void noteAnswer(PooledTarget& target, TimePoint now);
+
+    CookieSteeringOptions options;
+    RouteTable routes;
+    TargetPool pool;
+    FlowTable flows;
+    Placement placement;
+    SteeringCounters counters;
+    std::uint64_t reportSequence = 0;
+};
+
+SteeringDecision CookieSteering::Implementation::forwardTo(const PooledTarget& target, ResultCode code)
+{
+    SteeringDecision decision;
+    decision.action = SteeringAction::Forward;
+    decision.code = code;
+    decision.endpoint = target.endpoint;
+    decision.targetNumber = target.number;
+    decision.cookie = target.cookie;
+    decision.target = target.id;
+    decision.service = target.service;
+    return decision;
+}
+
+SteeringDecision CookieSteering::Implementation::refuse(const FlowPacket& packet, ResultCode code)
+{
+    SteeringDecision decision;
+    decision.action = SteeringAction::Reset;
+    decision.code = code;
+    decision.resetSequence = packet.acknowledgement;
+    return decision;
+}
+
+void CookieSteering::Implementation::avoid(PooledTarget& target, TimePoint now)
+{
+    if (target.avoidUntil > now)
+        return;
+    const Duration pause = std::min(longestAvoidance, shortestAvoidance * (1 << std::min(target.avoidances, 8U)));
+    target.avoidUntil = now + pause;
+    ++target.avoidances;
+    ++counters.avoidedTargets;
+}
+
+void CookieSteering::Implementation::noteAnswer(PooledTarget& target, TimePoint now)
+{
+    target.lastAnswer = now;
+    target.avoidUntil = {};
+    target.avoidances = 0;
+}
+
+SteeringDecision CookieSteering::Implementation::place(
+    const FlowPacket& packet, const std::string& service, const PooledTarget* excluded, TimePoint now)
+{
+    const PlacementChoice choice = placement.choose(pool.targetsOf(service), excluded, now);
+    if (!choice.target) {
+        ++counters.noTarget;
+        SteeringDecision decision = refuse(packet, ResultCode::FlowNoTarget);
+        decision.service = service;
+        return decision;
+    }
+    flows.place(packet.flow, *choice.target, now);
+    SteeringDecision decision = forwardTo(*choice.target, ResultCode::FlowPlaced);
+    decision.cost = choice.cost;
+    decision.candidates = choice.candidates;
+    ++counters.placed;
+    return decision;
+}
+
+SteeringDecision CookieSteering::Implementation::handleFirst(const FlowPacket& packet, TimePoint now)
+{
+    ++counters.firstPackets;
+    const Route* route = routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
+    if (!route) {
+        ++counters.routeUnknown;
+        // A host without a document cannot tell that a route does not exist.
+        return routes.version() == 0 ? SteeringDecision {} : refuse(packet, ResultCode::FlowRouteUnknown);
+    }
+    const std::string& service = RouteTable::chooseService(*route, hashFlow(packet.flow, 0));
+    SteeringDecision decision;
+    FlowRecord* known = flows.find(packet.flow);
+    // The acknowledgement field of a first packet counts its copies.
+    if (known && !known->established && !known->closed && packet.acknowledgement > 0) {
+        PooledTarget& former = *known->target;
+        const bool silentSince = former.lastAnswer < known->lastPlaced;
+        if (silentSince)
+            avoid(former, now);
+        const bool stays = !silentSince && packet.acknowledgement <= lastCopyToSameTarget && former.takesNewFlows()
+            && former.service == service;
+        if (stays) {
+            known->lastSeen = now;
+            decision = forwardTo(former, ResultCode::FlowPlaced);
+        } else {
+            decision = place(packet, service, &former, now);
+            if (decision.action == SteeringAction::Forward) {
+                decision.code = ResultCode::FlowPlacedAgain;
+                ++counters.placedAgain;
+            }
+        }
+    } else {
+        decision = place(packet, service, nullptr, now);
+    }
+    decision.route = route->name;
+    decision.copy = packet.acknowledgement;
+    return decision;
+}
+
+SteeringDecision CookieSteering::Implementation::handleLater(const FlowPacket& packet, TimePoint now)
+{
+    PooledTarget* target = pool.findByCookie(packet.cookie);
+    if (!target) {
+        ++counters.cookieUnknown;
+        SteeringDecision decision;
+        decision.code = ResultCode::FlowCookieUnknown;
+        decision.cookie = packet.cookie;
+        return decision;
+    }
+    if (target->phase == schema::TARGET_GONE && now - target->goneSince >= resetDelayAfterGone) {
+        ++counters.targetGone;
+        if (packet.rst)
+            return {};
+        SteeringDecision decision = refuse(packet, ResultCode::FlowTargetGone);
+        decision.target = target->id;
+        decision.service = target->service;
+        return decision;
+    }
+    if (flows.observe(packet, *target, now))
+        noteAnswer(*target, now);
+    ++counters.forwarded;
+    SteeringDecision decision = forwardTo(*target, ResultCode::Ok);
+    decision.cookie = packet.cookie;
+    return decision;
+}
+
+CookieSteering::CookieSteering(CookieSteeringOptions options)
+    : m_implementation(std::make_unique<Implementation>(std::move(options)))
+{
+}
+
+CookieSteering::~CookieSteering() = default;
+
+bool CookieSteering::installDocument(RoutingDocument document)
+{
+    return m_implementation->routes.install(std::move(document));
+}
+
+void CookieSteering::updateTarget(const RegisteredTarget& target, TimePoint now)
+{
+    m_implementation->pool.update(target, now);
+}
+
+SteeringDecision CookieSteering::handlePacket(const FlowPacket& packet, TimePoint now)
+{
+    return packet.isFirst() ? m_implementation->handleFirst(packet, now) : m_implementation->handleLater(packet, now);
+}
+
+void CookieSteering::handleReport(const schema::TargetLoadReport& report, TimePoint now)
+{
+    m_implementation->pool.setReport(report.host(), report, now);
+}
+
+schema::TargetLoadReport CookieSteering::makeReport()
+{
+    return m_implementation->pool.ownReport(m_implementation->options.host, ++m_implementation->reportSequence);
+}
+
+void CookieSteering::advance(TimePoint now)
+{
+    Implementation& self = *m_implementation;
+    const Duration configured = self.routes.document().idleTimeout;
+    const Duration idle = configured.count() > 0 ? configured : self.options.longestFlow;
+    self.flows.expire(idle, self.options.longestFlow, now);
+    self.pool.expireReports(now);
+}
+
+std::uint64_t CookieSteering::documentVersion() const { return m_implementation->routes.version(); }
+
+const Route* CookieSteering::findRoute(std::uint32_t address, std::uint16_t port) const
+{
+    return m_implementation->routes.find(address, port);
+}
+
+const SteeringCounters& CookieSteering::counters() const { return m_implementation->counters; }
+
+std::size_t CookieSteering::flowCount() const { return m_implementation->flows.size(); }
+
+}
--- /dev/null
+++ b/src/libbergamot/cookie/flow_table.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/// @file
+/// What an entry host remembers of flows that pass it. The cookie alone decides where packets go; this state only
+/// measures load, so it may be lost at any time.
+
+#include "cookie/target_pool.h"
+
+#include <unordered_map>
+
+namespace bergamotroute {
+
+/// One flow.
+struct FlowRecord {
+    PooledTarget* target = nullptr;
+    /// Incarnation of the target that the counts belong to.
+    std::uint64_t targetBorn = 0;
+    TimePoint opened;
+    TimePoint lastSeen;
+    TimePoint lastPlaced;
+    std::uint32_t nextSequence = 0;
+    std::uint32_t acknowledged = 0;
+    /// The client has acknowledged the target's answer to the first packet.
+    bool established = false;
+    bool requestPending = false;
+    bool closed = false;
+};
+
+/// Flows by their addresses, bounded in number and age.
+class FlowTable {
+public:
+    /// @param capacity flows above this number are not remembered.
+    explicit FlowTable(std::size_t capacity)
+        : m_capacity(capacity)
+    {
+    }
+
+    FlowRecord* find(const FlowId& flow);
+
+    /// Remembers a flow that was given to a target; replaces what was known of it.
+    /// @return null if the table is full.
+    FlowRecord* place(const FlowId& flow, PooledTarget& target, TimePoint now);
+
+    /// Takes the sequence numbers of a packet of a known or adopted flow into account.
+    /// @return true if the packet shows that the target has answered since the last one.
+    bool observe(const FlowPacket& packet, PooledTarget& target, TimePoint now);
+
+    /// Forgets flows that are closed, idle or old.
+    void expire(Duration idle, Duration oldest, TimePoint now);
+
+    std::size_t size() const { return m_flows.size(); }
+
+private:
+    static bool isCounted(const FlowRecord& record);
+    static void setPending(FlowRecord& record, bool pending);
+    static void close(FlowRecord& record);
+
+    std::size_t m_capacity;
+    std::unordered_map<FlowId, FlowRecord, FlowIdHash> m_flows;
+};
+
+}
--- /dev/null
+++ b/src/libbergamot/cookie/placement.cpp
@@ -0,0 +1,59 @@
+#include "cookie/placement.h"
+
+#include <xxhash.h>
+
+namespace bergamotroute {
+
+Placement::Placement(PlacementOptions options, std::string host, std::string dataCentre)
+    : m_options(options)
+    , m_dataCentre(std::move(dataCentre))
+    , m_seed(XXH3_64bits(host.data(), host.size()))
+{
+}
+
+double Placement::spreadOf(const PooledTarget& target) const
+{
+    constexpr double scale = 1.0 / 4294967296.0;
+    const std::uint64_t hash = XXH3_64bits_withSeed(&target.number, sizeof(target.number), m_seed);
+    return static_cast<double>(hash >> 32) * scale * m_options.spreadCost;
+}
+
+double Placement::costOf(const PooledTarget& target, TimePoint now) const
+{
+    const double requests = target.own.requests + target.others.requests;
+    const double idle = m_options.idleFlowRequests * (target.own.openFlows + target.others.openFlows);
+    double cost = (requests + idle) / target.slots + spreadOf(target);
+    if (target.coldUntil > now)
+        cost = cost * m_options.coldFactor + m_options.coldCost;
+    if (target.dataCentre != m_dataCentre)
+        cost += m_options.remoteCost;
+    if (target.silent)
+        cost += m_options.silentCost;
+    if (target.avoidUntil > now)
+        cost += m_options.avoidCost;
+    return cost;
+}
+
+PlacementChoice Placement::choose(
+    const std::vector<PooledTarget*>& targets, const PooledTarget* excluded, TimePoint now) const
+{
+    PlacementChoice best;
+    PlacementChoice fallback;
+    for (PooledTarget* target : targets) {
+        if (!target->takesNewFlows())
+            continue;
+        const double cost = costOf(*target, now);
+        PlacementChoice& slot = target == excluded ? fallback : best;
+        if (!slot.target || cost < slot.cost) {
+            slot.target = target;
+            slot.cost = cost;
+        }
+        ++best.candidates;
+    }
+    if (best.target)
+        return best;
+    fallback.candidates = best.candidates;
+    return fallback;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -0,0 +1,153 @@
+#include "cookie/target_pool.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Reports older than this say nothing about the present load.
+    constexpr Duration reportLifetime { 1500 };
+
+}
+
+Cookie makeCookie(std::uint64_t targetNumber)
+{
+    constexpr std::uint64_t largest = UINT32_MAX;
+    const std::uint64_t value = targetNumber <= largest ? targetNumber : XXH3_64bits(&targetNumber, sizeof(targetNumber));
+    const auto cookie = static_cast<Cookie>(value & largest);
+    return cookie == 0 ? 1 : cookie;
+}
+
+void TargetPool::update(const RegisteredTarget& registered, TimePoint now)
+{
+    const schema::TargetRecord& record = registered.record;
+    std::unique_ptr<PooledTarget>& slot = m_targets[record.id()];
+    const bool isNew = !slot;
+    if (isNew)
+        slot = std::make_unique<PooledTarget>();
+    PooledTarget& target = *slot;
+    const bool isRestart = !isNew && target.bornMs != record.born_ms();
+    if (isRestart) {
+        target.own = {};
+        target.unanswered = 0;
+        target.avoidUntil = {};
+        target.avoidances = 0;
+    }
+    const std::string formerService = target.service;
+    std::error_code error;
+    target.id = record.id();
+    target.service = record.service();
+    target.dataCentre = record.data_centre();
+    target.endpoint = Endpoint::parse(record.endpoint(), error);
+    target.number = m_numberOf(record.id());
+    target.cookie = makeCookie(target.number);
+    target.slots = std::max(1U, record.slots());
+    if (record.phase() == schema::TARGET_GONE && target.phase != schema::TARGET_GONE)
+        target.goneSince = now;
+    target.phase = record.phase();
+    target.silent = registered.silent;
+    target.bornMs = record.born_ms();
+    target.coldUntil = registered.coldUntil;
+    if (isNew || formerService != target.service) {
+        auto& former = m_byService[formerService];
+        former.erase(std::remove(former.begin(), former.end(), &target), former.end());
+        m_byService[target.service].push_back(&target);
+    }
+    resolveCookies();
+}
+
+void TargetPool::resolveCookies()
+{
+    m_byCookie.clear();
+    for (const auto& [id, target] : m_targets) {
+        PooledTarget*& holder = m_byCookie[target->cookie];
+        target->cookieTaken = false;
+        if (!holder) {
+            holder = target.get();
+            continue;
+        }
+        // All hosts decide alike: a target that runs goes before one that is gone, then the one that started first.
+        const bool holderRuns = holder->phase != schema::TARGET_GONE;
+        const bool targetRuns = target->phase != schema::TARGET_GONE;
+        const bool targetFirst
+            = targetRuns != holderRuns ? targetRuns : target->bornMs < holder->bornMs;
+        PooledTarget* second = targetFirst ? holder : target.get();
+        holder = targetFirst ? target.get() : holder;
+        second->cookieTaken = true;
+    }
+}
+
+PooledTarget* TargetPool::findByCookie(Cookie cookie)
+{
+    const auto found = m_byCookie.find(cookie);
+    return found == m_byCookie.end() ? nullptr : found->second;
+}
+
+const std::vector<PooledTarget*>& TargetPool::targetsOf(const std::string& service) const
+{
+    static const std::vector<PooledTarget*> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+void TargetPool::addReport(const Report& report, int sign)
+{
+    for (const auto& [cookie, load] : report.loads) {
+        PooledTarget* target = findByCookie(cookie);
+        if (!target)
+            continue;
+        if (sign > 0) {
+            target->others.openFlows += load.openFlows;
+            target->others.requests += load.requests;
+        } else {
+            target->others.openFlows -= std::min(target->others.openFlows, load.openFlows);
+            target->others.requests -= std::min(target->others.requests, load.requests);
+        }
+    }
+}
+
+void TargetPool::setReport(const std::string& host, const schema::TargetLoadReport& report, TimePoint now)
+{
+    Report& slot = m_reports[host];
+    if (report.sequence() <= slot.sequence && now - slot.received < reportLifetime)
+        return;
+    addReport(slot, -1);
+    slot.received = now;
+    slot.sequence = report.sequence();
+    slot.loads.clear();
+    for (const schema::TargetLoad& load : report.loads())
+        slot.loads.emplace_back(load.cookie(), ObservedLoad { load.open_flows(), load.requests() });
+    addReport(slot, 1);
+}
+
+void TargetPool::expireReports(TimePoint now)
+{
+    for (auto report = m_reports.begin(); report != m_reports.end();) {
+        if (now - report->second.received < reportLifetime) {
+            ++report;
+            continue;
+        }
+        addReport(report->second, -1);
+        report = m_reports.erase(report);
+    }
+}
+
+schema::TargetLoadReport TargetPool::ownReport(const std::string& host, std::uint64_t sequence) const
+{
+    schema::TargetLoadReport report;
+    report.set_host(host);
+    report.set_sequence(sequence);
+    for (const auto& [id, target] : m_targets) {
+        if (target->own.openFlows == 0 && target->own.requests == 0)
+            continue;
+        schema::TargetLoad& load = *report.add_loads();
+        load.set_cookie(target->cookie);
+        load.set_open_flows(target->own.openFlows);
+        load.set_requests(target->own.requests);
+    }
+    return report;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/cookie/target_pool.h
@@ -0,0 +1,110 @@
+#pragma once
+
+/// @file
+/// Targets as one entry host sees them: state from the registry, load from the packets that pass, load that other entry
+/// hosts report, and whether first packets are answered.
+
+#include "bergamotroute/clock.h"
+#include "bergamotroute/cookie_steering.h"
+#include "bergamotroute/flow_packet.h"
+#include "bergamotroute/target_registry.h"
+#include "bergamotroute/types.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bergamotroute {
+
+/// Load of one target.
+struct ObservedLoad {
+    std::uint32_t openFlows = 0;
+    /// Requests whose answer has not begun.
+    std::uint32_t requests = 0;
+};
+
+/// One target of an entry host.
+struct PooledTarget {
+    std::string id;
+    std::string service;
+    std::string dataCentre;
+    Endpoint endpoint;
+    /// Number of the id, as the carrier writes it before packets.
+    std::uint64_t number = 0;
+    Cookie cookie = 0;
+    std::uint32_t slots = 1;
+    schema::TargetPhase phase = schema::TARGET_READY;
+    bool silent = false;
+    /// Another target has the same cookie and came first; this one gets no flows until that one is gone.
+    bool cookieTaken = false;
+    std::uint64_t bornMs = 0;
+    TimePoint coldUntil;
+    TimePoint goneSince;
+    /// As seen by this host, and reported by others.
+    ObservedLoad own;
+    ObservedLoad others;
+    /// First packets since the last sign of life that have no answer yet.
+    std::uint32_t unanswered = 0;
+    TimePoint unansweredSince;
+    TimePoint lastAnswer;
+    /// No new flows before this time, because first packets got no answer.
+    TimePoint avoidUntil;
+    std::uint32_t avoidances = 0;
+
+    bool takesNewFlows() const { return phase == schema::TARGET_READY && !cookieTaken; }
+};
+
+
+
+/// All targets by id and by cookie. Pointers stay valid for the life of the pool.
+class TargetPool {
+public:
+    explicit TargetPool(TargetNumber numberOf)
+        : m_numberOf(numberOf)
+    {
+    }
+
+    /// Takes over a change of the registry.
+    void update(const RegisteredTarget& target, TimePoint now);
+
+    /// @return the target with a cookie, or null.
+    PooledTarget* findByCookie(Cookie cookie);
+
+    /// @return targets of a service, or an empty list.
+    const std::vector<PooledTarget*>& targetsOf(const std::string& service) const;
+
+    /// Replaces the load that another host reported.
+    void setReport(const std::string& host, const schema::TargetLoadReport& report, TimePoint now);
+
+    /// Drops reports of hosts that have stopped reporting.
+    void expireReports(TimePoint now);
+
+    /// @return own load of all targets with any.
+    schema::TargetLoadReport ownReport(const std::string& host, std::uint64_t sequence) const;
+
+    const std::map<std::string, std::unique_ptr<PooledTarget>, std::less<>>& all() const { return m_targets; }
+
+private:
+    struct Report {
+        TimePoint received;
+        std::uint64_t sequence = 0;
+        std::vector<std::pair<Cookie, ObservedLoad>> loads;
+    };
+
+    void resolveCookies();
+    void addReport(const Report& report, int sign);
+
+    TargetNumber m_numberOf;
+    std::map<std::string, std::unique_ptr<PooledTarget>, std::less<>> m_targets;
+    std::unordered_map<Cookie, PooledTarget*> m_byCookie;
+    std::unordered_map<std::string, std::vector<PooledTarget*>> m_byService;
+    std::map<std::string, Report> m_reports;
+};
+
+/// @return the cookie of a target, never zero: the low half of its number if the number has no other half, else a hash.
+Cookie makeCookie(std::uint64_t targetNumber);
+
+}
--- /dev/null
+++ b/src/libbergamot/directory/control_selector.cpp
@@ -0,0 +1,78 @@
+#include "bergamotroute/control_selector.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Time after which a failure or isolation counts no more, so that the host is tried again.
+    constexpr Duration troubleLifetime { 4000 };
+    constexpr double remoteCost = 1;
+    constexpr double isolatedCost = 10;
+    constexpr double failureCost = 100;
+    /// Failures above this number make no difference.
+    constexpr unsigned mostFailures = 8;
+
+}
+
+ControlSelector::ControlSelector(std::string host, std::string dataCentre)
+    : m_host(std::move(host))
+    , m_dataCentre(std::move(dataCentre))
+{
+}
+
+void ControlSelector::learn(const std::string& endpoint, const std::string& dataCentre)
+{
+    Candidate& candidate = m_candidates[endpoint];
+    if (!dataCentre.empty())
+        candidate.dataCentre = dataCentre;
+}
+
+void ControlSelector::noteFailure(const std::string& endpoint, TimePoint now)
+{
+    Candidate& candidate = m_candidates[endpoint];
+    candidate.failures = std::min(candidate.failures + 1, mostFailures);
+    candidate.lastTrouble = now;
+}
+
+void ControlSelector::noteAnswer(const std::string& endpoint, bool isolated, TimePoint now)
+{
+    Candidate& candidate = m_candidates[endpoint];
+    candidate.failures = 0;
+    candidate.isolated = isolated;
+    if (isolated)
+        candidate.lastTrouble = now;
+}
+
+double ControlSelector::costOf(const std::string& endpoint, const Candidate& candidate, TimePoint now) const
+{
+    const std::string key = m_host + endpoint;
+    constexpr double scale = 1.0 / 4294967296.0;
+    double cost = static_cast<double>(XXH3_64bits(key.data(), key.size()) >> 32) * scale;
+    if (candidate.dataCentre != m_dataCentre)
+        cost += remoteCost;
+    if (now - candidate.lastTrouble >= troubleLifetime)
+        return cost;
+    return cost + failureCost * candidate.failures + (candidate.isolated ? isolatedCost : 0);
+}
+
+std::string ControlSelector::choose(TimePoint now)
+{
+    const auto present = m_candidates.find(m_current);
+    if (present != m_candidates.end() && present->second.failures == 0 && !present->second.isolated)
+        return m_current;
+    double lowest = 0;
+    m_current.clear();
+    for (const auto& [endpoint, candidate] : m_candidates) {
+        const double cost = costOf(endpoint, candidate, now);
+        if (!m_current.empty() && cost >= lowest)
+            continue;
+        m_current = endpoint;
+        lowest = cost;
+    }
+    return m_current;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/directory/member_policy_test.cpp
@@ -0,0 +1,86 @@
+/// @file
+/// Guards against a quorum that shrinks or keeps dead members: a lost disk, a replaced host, a host that only restarts.
+
+#include "bergamotroute/member_policy.h"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace bergamotroute;
+
+namespace {
+
+schema::ControlMember member(const std::string& identity, const std::string& endpoint, bool voter = true)
+{
+    schema::ControlMember result;
+    result.set_identity(identity);
+    result.set_rpc_endpoint(endpoint);
+    result.set_voter(voter);
+    return result;
+}
+
+struct Fixture {
+    ManualClock clock;
+    MemberPolicy policy;
+    std::vector<schema::ControlMember> members { member("a", "1:1"), member("b", "2:1"), member("c", "3:1") };
+    std::vector<AnnouncedControlHost> announced { { "a", "a", "1:1" }, { "b", "b", "2:1" }, { "c", "c", "3:1" } };
+
+    std::optional<MemberStep> step() { return policy.advance(members, announced, "a", clock.now()); }
+
+    void pass(Duration time, const std::vector<std::string>& silent)
+    {
+        clock.advance(time);
+        for (AnnouncedControlHost& host : announced) {
+            const bool isSilent = std::find(silent.begin(), silent.end(), host.identity) != silent.end();
+            host.age = isSilent ? host.age + time : Duration(0);
+        }
+    }
+};
+
+}
+
+TEST_CASE_FIXTURE(Fixture, "a host that announces itself is added without a vote and then promoted")
+{
+    CHECK_FALSE(step().has_value());
+    announced.push_back({ "d", "d", "4:1" });
+    pass(Duration(300), {});
+    const auto added = step();
+    REQUIRE(added.has_value());
+    CHECK(added->change.add_control_member().identity() == "d");
+    CHECK_FALSE(added->change.add_control_member().voter());
+    members.push_back(member("d", "4:1", false));
+    pass(Duration(300), {});
+    const auto promoted = step();
+    REQUIRE(promoted.has_value());
+    CHECK(promoted->change.promote_control_member() == "d");
+}
+
+TEST_CASE_FIXTURE(Fixture, "an identity whose disk was lost is removed before its successor is added")
+{
+    step();
+    announced[2] = { "c2", "c", "3:1" };
+    pass(Duration(2000), {});
+    const auto first = step();
+    REQUIRE(first.has_value());
+    CHECK(first->change.remove_control_member() == "c");
+    members.pop_back();
+    pass(Duration(300), {});
+    const auto second = step();
+    REQUIRE(second.has_value());
+    CHECK(second->change.add_control_member().identity() == "c2");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a silent voter stays a member until another host has taken its place")
+{
+    step();
+    pass(Duration(30'000), { "c" });
+    CHECK_FALSE(step().has_value());
+    announced.push_back({ "d", "d", "4:1" });
+    pass(Duration(300), { "c" });
+    REQUIRE(step()->change.has_add_control_member());
+    members.push_back(member("d", "4:1"));
+    pass(Duration(10'000), { "c" });
+    const auto removed = step();
+    REQUIRE(removed.has_value());
+    CHECK(removed->change.remove_control_member() == "c");
+}
--- /dev/null
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -0,0 +1,170 @@
+#include "bergamotroute/target_registry.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bergamotroute {
+
+namespace {
+
+    std::uint32_t millisecondsSince(TimePoint then, TimePoint now)
+    {
+        return static_cast<std::uint32_t>(std::max<Duration::rep>(0, (now - then).count()));
+    }
+
+    bool isOlder(const schema::TargetRecord& left, const schema::TargetRecord& right)
+    {
+        return std::tuple(left.born_ms(), left.sequence()) < std::tuple(right.born_ms(), right.sequence());
+    }
+
+    bool hasSameProperties(const schema::TargetRecord& left, const schema::TargetRecord& right)
+    {
+        return left.service() == right.service() && left.endpoint() == right.endpoint()
+            && left.data_centre() == right.data_centre() && left.slots() == right.slots()
+            && left.phase() == right.phase();
+    }
+
+    schema::TargetRecord exportRecord(const RegisteredTarget& target, TimePoint now)
+    {
+        schema::TargetRecord record = target.record;
+        record.set_age_ms(millisecondsSince(target.heard, now));
+        record.set_cold_left_ms(target.coldUntil > now ? millisecondsSince(now, target.coldUntil) : 0);
+        record.set_silent(target.silent);
+        return record;
+    }
+
+}
+
+TargetEvent TargetRegistry::merge(const schema::TargetRecord& record, bool isHeartbeat, TimePoint now)
+{
+    const auto found = m_targets.find(record.id());
+    const bool isNew = found == m_targets.end() || found->second.record.born_ms() < record.born_ms();
+    if (!isNew && isOlder(record, found->second.record))
+        return TargetEvent::Ignored;
+    const TimePoint heard = now - Duration(record.age_ms());
+    const bool changesSilence = !isNew && m_options.copiesSilence && record.silent() != found->second.silent;
+    if (!isNew && !changesSilence && record.sequence() == found->second.record.sequence() && heard <= found->second.heard)
+        return TargetEvent::Ignored;
+    return apply(m_targets[record.id()], record, isNew, isHeartbeat, now);
+}
+
+TargetEvent TargetRegistry::apply(
+    RegisteredTarget& target, const schema::TargetRecord& record, bool isNew, bool isHeartbeat, TimePoint now)
+{
+    const schema::TargetRecord previous = target.record;
+    const bool isGone = record.phase() == schema::TARGET_GONE || isAddressTaken(record);
+    target.record = record;
+    target.record.set_phase(isGone ? schema::TARGET_GONE : record.phase());
+    target.heard = isNew ? now - Duration(record.age_ms()) : std::max(target.heard, now - Duration(record.age_ms()));
+    target.coldUntil = now + Duration(record.cold_left_ms());
+    if (isHeartbeat)
+        target.lastChange = ++m_lastChange;
+    if (!isGone)
+        releaseAddress(record);
+    const bool isSilent
+        = m_options.copiesSilence ? record.silent() : now - target.heard >= m_options.silentAfter;
+    const bool wasSilent = std::exchange(target.silent, isSilent);
+    TargetEvent event = TargetEvent::Refreshed;
+    if (isGone)
+        event = isNew || previous.phase() != schema::TARGET_GONE ? TargetEvent::Gone : TargetEvent::Refreshed;
+    else if (record.phase() == schema::TARGET_DRAINING && (isNew || previous.phase() != schema::TARGET_DRAINING))
+        event = TargetEvent::Draining;
+    else if (isNew)
+        event = TargetEvent::Found;
+    else if (!hasSameProperties(previous, target.record))
+        event = TargetEvent::Updated;
+    else if (wasSilent != target.silent)
+        event = target.silent ? TargetEvent::Silent : TargetEvent::Heard;
+    note(target, event);
+    return event;
+}
+
+bool TargetRegistry::isAddressTaken(const schema::TargetRecord& record) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&record](const auto& item) {
+        const schema::TargetRecord& other = item.second.record;
+        return other.id() != record.id() && other.endpoint() == record.endpoint()
+            && other.phase() != schema::TARGET_GONE && other.born_ms() > record.born_ms();
+    });
+}
+
+void TargetRegistry::releaseAddress(const schema::TargetRecord& record)
+{
+    for (auto& [id, other] : m_targets) {
+        const bool isEarlier = id != record.id() && other.record.endpoint() == record.endpoint()
+            && other.record.phase() != schema::TARGET_GONE && other.record.born_ms() < record.born_ms();
+        if (!isEarlier)
+            continue;
+        other.record.set_phase(schema::TARGET_GONE);
+        note(other, TargetEvent::Gone);
+    }
+}
+
+TargetEvent TargetRegistry::remove(std::string_view id, std::uint64_t bornMs, TimePoint now)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end() || (bornMs != 0 && bornMs < found->second.record.born_ms()))
+        return TargetEvent::Ignored;
+    schema::TargetRecord gone = found->second.record;
+    gone.set_born_ms(std::max(bornMs, gone.born_ms()));
+    // No later heartbeat of this incarnation may bring it back.
+    gone.set_sequence(UINT64_MAX);
+    gone.set_phase(schema::TARGET_GONE);
+    gone.set_age_ms(0);
+    return merge(gone, true, now);
+}
+
+void TargetRegistry::note(RegisteredTarget& target, TargetEvent event)
+{
+    if (event == TargetEvent::Refreshed || event == TargetEvent::Ignored)
+        return;
+    target.lastChange = ++m_lastChange;
+    target.lastEvent = ++m_lastEvent;
+    if (m_observer)
+        m_observer(target, event);
+}
+
+void TargetRegistry::advance(TimePoint now)
+{
+    for (auto item = m_targets.begin(); item != m_targets.end();) {
+        RegisteredTarget& target = item->second;
+        const Duration age = now - target.heard;
+        if (age >= m_options.forgetAfter) {
+            item = m_targets.erase(item);
+            continue;
+        }
+        if (!m_options.copiesSilence && !target.silent && target.record.phase() != schema::TARGET_GONE && age >= m_options.silentAfter) {
+            target.silent = true;
+            note(target, TargetEvent::Silent);
+        }
+        ++item;
+    }
+}
+
+const RegisteredTarget* TargetRegistry::find(std::string_view id) const
+{
+    const auto found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+std::vector<schema::TargetRecord> TargetRegistry::changesSince(std::uint64_t change, TimePoint now) const
+{
+    std::vector<schema::TargetRecord> records;
+    for (const auto& [id, target] : m_targets) {
+        if (target.lastChange > change)
+            records.push_back(exportRecord(target, now));
+    }
+    return records;
+}
+
+std::vector<schema::TargetRecord> TargetRegistry::eventsSince(std::uint64_t event, TimePoint now) const
+{
+    std::vector<schema::TargetRecord> records;
+    for (const auto& [id, target] : m_targets) {
+        if (target.lastEvent > event)
+            records.push_back(exportRecord(target, now));
+    }
+    return records;
+}
+
+}
--- a/src/libbergamot/quorum/quorum_log.cpp
+++ b/src/libbergamot/quorum/quorum_log.cpp
@@ -246,6 +246,30 @@
 
 bool QuorumLog::isLeaseValid(TimePoint now) const { return m_implementation->isLeaseValid(now); }
 
+void QuorumLog::sendHeartbeat(TimePoint now)
+{
+    if (m_implementation->role == QuorumRole::Leader)
+        m_implementation->sendHeartbeats(now);
+}
+
+bool QuorumLog::isConfirmedAfter(TimePoint time) const
+{
+    const Implementation& self = *m_implementation;
+    if (self.role != QuorumRole::Leader || self.commitIndex < self.termFirstIndex)
+        return false;
+    return self.leaseStart(TimePoint::max()) > time;
+}
+
+bool QuorumLog::hasQuorumContact(Duration within, TimePoint now) const
+{
+    const Implementation& self = *m_implementation;
+    if (self.role == QuorumRole::Leader)
+        return self.leaseStart(now) + within > now;
+    return self.role == QuorumRole::Follower && !self.leader.empty() && now - self.lastLeaderContact < within;
+}
+
+std::uint64_t QuorumLog::term() const { return m_implementation->hardState.term(); }
+
 QuorumRole QuorumLog::role() const { return m_implementation->role; }
 
 const schema::Configuration& QuorumLog::configuration() const { return m_implementation->machine.configuration(); }
--- a/src/libbergamot/runbook/apply_change.cpp
+++ b/src/libbergamot/runbook/apply_change.cpp
@@ -106,6 +106,9 @@
         return promoteMember(change.promote_control_member(), configuration);
     case schema::Change::kRemoveControlMember:
         return eraseFrom(*configuration.mutable_control_members(), hasIdentity(change.remove_control_member()));
+    case schema::Change::kPutDocument:
+        *configuration.mutable_document() = change.put_document();
+        return true;
     case schema::Change::CHANGE_NOT_SET:
         return false;
     }
--- a/src/libbergamot/runbook/describe_change.cpp
+++ b/src/libbergamot/runbook/describe_change.cpp
@@ -64,6 +64,8 @@
         return "promote control member " + change.promote_control_member();
     case schema::Change::kRemoveControlMember:
         return "remove control member " + change.remove_control_member();
+    case schema::Change::kPutDocument:
+        return "put document version " + std::to_string(change.put_document().version());
     case schema::Change::CHANGE_NOT_SET:
         break;
     }
--- a/src/libbergamotio/http_server.cpp
+++ b/src/libbergamotio/http_server.cpp
@@ -19,6 +19,8 @@
 
     constexpr std::size_t largestBody = 4 * 1024 * 1024;
     constexpr std::size_t largestHeaders = 64 * 1024;
+    /// Time after which a connection without a request is closed, so that silent ones do not use up descriptors.
+    constexpr int idleSeconds = 30;
 
     std::string methodName(evhttp_request* request)
     {
@@ -29,6 +31,10 @@
             return "POST";
         case EVHTTP_REQ_HEAD:
             return "HEAD";
+        case EVHTTP_REQ_PUT:
+            return "PUT";
+        case EVHTTP_REQ_DELETE:
+            return "DELETE";
         default:
             return "OTHER";
         }
@@ -194,6 +200,7 @@
 {
     evhttp_set_max_body_size(m_http.get(), largestBody);
     evhttp_set_max_headers_size(m_http.get(), largestHeaders);
+    evhttp_set_timeout(m_http.get(), idleSeconds);
     evhttp_set_gencb(m_http.get(), handleRequest, this);
 }
 
@@ -219,15 +226,23 @@
     static_cast<HttpServer*>(server)->dispatch(std::make_shared<HttpExchange>(request));
 }
 
+const std::map<std::string, HttpServer::Route>* HttpServer::findPath(const std::string& path) const
+{
+    if (const auto exact = m_routes.find(path); exact != m_routes.end())
+        return &exact->second;
+    const auto prefix = m_routes.find(path.substr(0, path.rfind('/') + 1));
+    return prefix != m_routes.end() && prefix->first.size() > 1 ? &prefix->second : nullptr;
+}
+
 void HttpServer::dispatch(const std::shared_ptr<HttpExchange>& exchange)
 {
-    const auto path = m_routes.find(exchange->path());
-    if (path == m_routes.end()) {
+    const std::map<std::string, Route>* path = findPath(exchange->path());
+    if (path == nullptr) {
         exchange->replyError(HttpStatus::NotFound, ResultCode::HttpNotFound, "no such path");
         return;
     }
-    const auto route = path->second.find(exchange->method());
-    if (route == path->second.end()) {
+    const auto route = path->find(exchange->method());
+    if (route == path->end()) {
         exchange->replyError(HttpStatus::MethodNotAllowed, ResultCode::HttpBadRequest, "method not allowed");
         return;
     }
--- a/src/libbergamotio/http_server.h
+++ b/src/libbergamotio/http_server.h
@@ -28,6 +28,7 @@
 enum class HttpStatus {
     Ok = 200,
     Accepted = 202,
+    TemporaryRedirect = 307,
     BadRequest = 400,
     Unauthorized = 401,
     Forbidden = 403,
@@ -120,7 +121,8 @@
     /// Sets the bearer token. Without a token every route with HttpAccess::Token answers 401.
     void setToken(std::string token) { m_token = std::move(token); }
 
-    /// Adds a route for a method ("GET", "POST") and an exact path.
+    /// Adds a route for a method ("GET", "POST", "PUT", "DELETE") and a path. A path that ends with a slash matches
+    /// every path that it begins and that has no route of its own.
     void route(const std::string& method, const std::string& path, HttpAccess access, HttpHandler handler);
 
 private:
@@ -131,6 +133,7 @@
 
     static void handleRequest(evhttp_request* request, void* server);
     void dispatch(const std::shared_ptr<HttpExchange>& exchange);
+    const std::map<std::string, Route>* findPath(const std::string& path) const;
     bool isAuthorized(const HttpExchange& exchange) const;
 
     struct HttpDeleter {
--- a/src/bergamot-control/peer_links.cpp
+++ b/src/libbergamotio/peer_links.cpp
@@ -1,4 +1,4 @@
-#include "peer_links.h"
+#include "libbergamotio/peer_links.h"
 
 namespace bergamotroute {
 
--- a/src/libbergamotio/rpc_client.cpp
+++ b/src/libbergamotio/rpc_client.cpp
@@ -90,6 +90,7 @@
         return;
     }
     sent.stream = stream;
+    sent.sentAt = m_loop.now();
     m_streams[stream] = id;
 }
 
@@ -101,6 +102,7 @@
 
 void RpcClient::headerReceived(std::int32_t stream, std::string_view name, std::string_view value)
 {
+    m_lastReceived = m_loop.now();
     Call* target = callOf(stream);
     if (target && name == ":status")
         std::from_chars(value.data(), value.data() + value.size(), target->result.status);
@@ -143,15 +145,21 @@
 {
     const TimePoint now = m_loop.now();
     std::vector<std::pair<std::uint64_t, std::int32_t>> expired;
+    bool isSilent = false;
     for (const auto& [id, waitingCall] : m_calls) {
-        if (waitingCall.deadline <= now)
-            expired.emplace_back(id, waitingCall.stream);
+        if (waitingCall.deadline > now)
+            continue;
+        expired.emplace_back(id, waitingCall.stream);
+        isSilent = isSilent || (waitingCall.stream != 0 && m_lastReceived <= waitingCall.sentAt);
     }
     for (const auto& [id, stream] : expired) {
         finish(id, ResultCode::DeadlineExceeded);
         if (stream != 0 && m_transport)
             m_transport->resetStream(stream);
     }
+    // Nothing came since a call that has expired: the connection may have gone silent for good while new ones work.
+    if (isSilent && m_state == State::Connected)
+        closeConnection();
     scheduleDeadline();
 }
 
@@ -180,6 +188,7 @@
 
 void RpcClient::pingAcknowledged()
 {
+    m_lastReceived = m_loop.now();
     m_probeOpen = false;
     m_probeTimer.start(m_options.probeInterval);
 }
--- a/src/libbergamotio/rpc_client.h
+++ b/src/libbergamotio/rpc_client.h
@@ -70,6 +70,7 @@
         std::string path;
         std::string body;
         TimePoint deadline;
+        TimePoint sentAt;
         Callback callback;
         std::int32_t stream = 0;
         RpcResult result;
@@ -104,6 +105,7 @@
     std::uint64_t m_nextId = 1;
     Duration m_backoff;
     bool m_probeOpen = false;
+    TimePoint m_lastReceived;
     std::uint64_t m_failedProbes = 0;
     Timer m_deadlineTimer;
     Timer m_probeTimer;
