--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -14,6 +14,8 @@
     /// A target counts as silent after this many heartbeat intervals.
     constexpr unsigned silentIntervals = 4;
     constexpr Duration quorumWithin { 1200 };
+    /// Events that come within this time share a write of the registry.
+    constexpr Duration storeDelay { 300 };
     constexpr Duration memberWithin { 10'000 };
     /// Time for which a stopping process answers calls that have already arrived.
     constexpr Duration stopGrace { 300 };
@@ -98,6 +100,7 @@
     , m_settings(std::move(settings))
     , m_protocol(protocol)
     , m_registry(makeRegistryOptions(m_settings))
+    , m_store(m_settings.data_folder())
     , m_quorum(loop, makeOptions(m_settings))
     , m_exchange(loop, m_registry, makeRecord(m_settings))
     , m_sync(loop, m_quorum, m_registry, m_exchange)
@@ -105,6 +108,7 @@
     , m_http(loop)
     , m_metricsServer(loop)
     , m_timer(loop, [this] { advance(); })
+    , m_storeTimer(loop, [this] { m_store.save(m_registry.changesSince(0, m_loop.now())); })
     , m_stopTimer(loop, [this] { m_loop.stop(); })
 {
     m_registry.setObserver(
@@ -124,6 +128,7 @@
     if (const std::error_code error = openListeners())
         return error;
     m_exchange.setIdentity(m_quorum.identity());
+    loadRegistry();
     addSeeds(m_settings);
     m_quorum.serve(m_rpc);
     m_exchange.serve(m_rpc);
@@ -135,6 +140,15 @@
     return {};
 }
 
+void DirectoryDaemon::loadRegistry()
+{
+    for (schema::TargetRecord& record : m_store.load()) {
+        // How long this process was away is not known; a target that does not run becomes silent soon.
+        record.set_age_ms(0);
+        m_registry.merge(record, false, m_loop.now());
+    }
+}
+
 std::error_code DirectoryDaemon::openListeners()
 {
     std::error_code error;
@@ -188,6 +202,7 @@
             { "age_ms", std::to_string((m_loop.now() - target.heard).count()) } });
     m_sync.notify();
     m_exchange.sendSoon();
+    m_storeTimer.start(storeDelay);
 }
 
 void DirectoryDaemon::advance()
--- a/src/bergamot-directory/directory_daemon.h
+++ b/src/bergamot-directory/directory_daemon.h
@@ -6,6 +6,7 @@
 
 #include "bergamot-directory/directory_exchange.h"
 #include "bergamot-directory/entry_sync.h"
+#include "bergamot-directory/registry_store.h"
 #include "bergamotroute/member_policy.h"
 #include "bergamotroute/operator_protocol.h"
 #include "bergamotroute/target_registry.h"
@@ -56,6 +57,7 @@
     std::error_code openListeners();
     void addSeeds(const schema::DirectorySettings& settings);
     void handleTargetEvent(const RegisteredTarget& target, TargetEvent event);
+    void loadRegistry();
     void advance();
     void changeMembers();
     void noteQuorum();
@@ -75,6 +77,7 @@
     schema::DirectorySettings m_settings;
     const OperatorProtocol& m_protocol;
     TargetRegistry m_registry;
+    RegistryStore m_store;
     QuorumHost m_quorum;
     DirectoryExchange m_exchange;
     EntrySync m_sync;
@@ -87,6 +90,7 @@
     bool m_wasCurrent = false;
     bool m_stopping = false;
     Timer m_timer;
+    Timer m_storeTimer;
     Timer m_stopTimer;
 };
 
--- a/src/bergamot-directory/directory_exchange.cpp
+++ b/src/bergamot-directory/directory_exchange.cpp
@@ -17,6 +17,7 @@
     /// Changes that come together share a message.
     constexpr Duration coalescingDelay { 5 };
     constexpr Duration callDeadline { 700 };
+    constexpr Duration longestBackoff { 100 };
     /// A control host that has not answered for this time is not waited for.
     constexpr Duration runningWithin { 1300 };
     /// Hosts that were not heard for this time are forgotten.
@@ -66,7 +67,8 @@
         return nullptr;
     Peer& added = m_peers[endpoint];
     RpcClientOptions options;
-    options.backoffMax = roundInterval;
+    options.backoffMax = longestBackoff;
+    options.failsFast = true;
     added.client = std::make_unique<RpcClient>(m_loop, parsed, options);
     return &added;
 }
--- /dev/null
+++ b/src/bergamot-directory/registry_store.cpp
@@ -0,0 +1,48 @@
+#include "bergamot-directory/registry_store.h"
+
+#include "libbergamotio/durable_file.h"
+#include "libbergamotio/log.h"
+#include "libbergamotio/log_frames.h"
+
+#include <utility>
+
+namespace bergamotroute {
+
+namespace {
+
+    constexpr const char* fileName = "targets";
+
+}
+
+std::vector<schema::TargetRecord> RegistryStore::load() const
+{
+    std::string content;
+    bool exists = false;
+    const std::error_code error = readFile(m_folder + '/' + fileName, content, exists);
+    if (!exists && !error)
+        return {};
+    const FrameScan scan = scanFrames(content);
+    schema::DirectoryExchange saved;
+    const bool intact = !error && scan.payloads.size() == 1
+        && saved.ParseFromArray(scan.payloads[0].data(), static_cast<int>(scan.payloads[0].size()));
+    if (!intact) {
+        writeLog(LogLevel::Warning, ResultCode::LogDamaged, "the saved registry of targets is ignored",
+            { { "detail", error ? error.message() : "damaged" } });
+        return {};
+    }
+    return { saved.targets().begin(), saved.targets().end() };
+}
+
+void RegistryStore::save(const std::vector<schema::TargetRecord>& records)
+{
+    schema::DirectoryExchange saved;
+    for (const schema::TargetRecord& record : records)
+        *saved.add_targets() = record;
+    const std::error_code error = replaceFile(m_folder, fileName, makeFrame(saved.SerializeAsString()));
+    if (error && !m_failed)
+        writeLog(LogLevel::Warning, ResultCode::StorageFailed, "the registry of targets cannot be saved",
+            { { "detail", error.message() } });
+    m_failed = static_cast<bool>(error);
+}
+
+}
--- a/src/bergamot-entry/control_link.cpp
+++ b/src/bergamot-entry/control_link.cpp
@@ -11,6 +11,9 @@
     /// and two control hosts that hang one after the other must not delay news beyond the propagation bound of 3 s.
     constexpr Duration longestHold { 800 };
     constexpr Duration callDeadline { 1250 };
+    /// Time for opening a connection; a machine without power does not answer at all.
+    constexpr Duration connectTimeout { 500 };
+    constexpr Duration longestBackoff { 100 };
     /// Pause after a failed call, so that an entry host without any control host does not spin.
     constexpr Duration failurePause { 40 };
     /// Pause between calls to a control host that does not hear from a majority.
@@ -45,8 +48,9 @@
     if (error)
         return nullptr;
     RpcClientOptions options;
-    options.probeTimeout = callDeadline;
-    options.backoffMax = longestHold;
+    options.probeTimeout = connectTimeout;
+    options.backoffMax = longestBackoff;
+    options.failsFast = true;
     client = std::make_unique<RpcClient>(m_loop, parsed, options);
     return client.get();
 }
--- a/src/libbergamot/quorum/commands.cpp
+++ b/src/libbergamot/quorum/commands.cpp
@@ -130,6 +130,9 @@
 
 void QuorumLog::Implementation::commitUpTo(std::uint64_t index, TimePoint now)
 {
+    constexpr Duration commitPersistDelay { 200 };
+    if (commitIndex < std::min(index, window.lastIndex()))
+        commitPersistDeadline = std::min(commitPersistDeadline, now + commitPersistDelay);
     const std::uint64_t revision = machine.configuration().revision();
     while (commitIndex < std::min(index, window.lastIndex())) {
         ++commitIndex;
--- a/src/libbergamot/quorum/quorum_log.cpp
+++ b/src/libbergamot/quorum/quorum_log.cpp
@@ -28,6 +28,7 @@
         if (window.termAt(commitIndex) != newestSnapshot->last_term())
             window.reset(commitIndex, newestSnapshot->last_term());
     }
+    applyDurableCommit();
     durableIndex = window.lastIndex();
     if (window.lastIndex() > window.baseIndex())
         lastEntryTimeMs = window.at(window.lastIndex()).time_ms();
@@ -37,6 +38,24 @@
         stop(ResultCode::IdentityRetired, "this member was removed");
 }
 
+void QuorumLog::Implementation::applyDurableCommit()
+{
+    const std::uint64_t last = std::min(hardState.commit_index(), window.lastIndex());
+    while (commitIndex < last)
+        machine.apply(window.at(++commitIndex));
+}
+
+void QuorumLog::Implementation::persistCommitIfDue(TimePoint now)
+{
+    if (now < commitPersistDeadline)
+        return;
+    commitPersistDeadline = noDeadline;
+    if (hardState.commit_index() >= commitIndex)
+        return;
+    hardState.set_commit_index(commitIndex);
+    persistHardState();
+}
+
 void QuorumLog::Implementation::form(const schema::Snapshot& snapshot, TimePoint now)
 {
     if (isFormed() || isStopped())
@@ -167,6 +186,7 @@
     if (isStopped())
         return;
     expireAnswers(now);
+    persistCommitIfDue(now);
     if (role == QuorumRole::Leader) {
         checkLeaderContact(now);
         if (role == QuorumRole::Leader && now >= heartbeatDeadline)
@@ -190,7 +210,7 @@
         next = std::min(next, command.deadline);
     if (!pending.empty())
         next = std::min(next, pending.begin()->second.deadline);
-    return next;
+    return std::min(next, commitPersistDeadline);
 }
 
 QuorumLog::QuorumLog(QuorumOptions options, StoredLog stored, QuorumSink& sink, TimePoint now)
--- a/src/libbergamot/quorum/quorum_state.h
+++ b/src/libbergamot/quorum/quorum_state.h
@@ -57,6 +57,8 @@
     PersistRequest newPersistRequest();
     void persist(PersistRequest request);
     void persistHardState();
+    void applyDurableCommit();
+    void persistCommitIfDue(TimePoint now);
     void sendWhenDurable(schema::ControlMessage message);
     void sendNow(const schema::ControlMessage& message);
     schema::ControlMessage messageTo(const std::string& identity) const;
@@ -133,6 +135,8 @@
     LogWindow window;
     ConfigurationMachine machine;
     std::uint64_t commitIndex = 0;
+    /// When the commit index is made durable; it need not be at once.
+    TimePoint commitPersistDeadline = noDeadline;
     /// State at the newest snapshot; sent to members that need entries below the window.
     std::optional<schema::Snapshot> newestSnapshot;
     std::vector<schema::ControlMember> members;
--- a/src/libbergamotio/rpc_client.cpp
+++ b/src/libbergamotio/rpc_client.cpp
@@ -35,6 +35,8 @@
         connect();
     else if (m_state == State::Connected)
         sendCall(id);
+    else if (m_state == State::Backoff && m_options.failsFast)
+        added.deadline = m_loop.now();
     scheduleDeadline();
 }
 
@@ -204,8 +206,10 @@
     m_backoff = std::min(m_backoff * 2, m_options.backoffMax);
     // Calls that were sent may have run. Calls that were not sent wait for the next connection or their deadline.
     std::vector<std::uint64_t> lost;
-    for (const auto& [stream, id] : m_streams)
-        lost.push_back(id);
+    for (const auto& [id, call] : m_calls) {
+        if (call.stream != 0 || m_options.failsFast)
+            lost.push_back(id);
+    }
     m_streams.clear();
     for (const std::uint64_t id : lost)
         finish(id, ResultCode::ConnectionLost);
--- a/src/libbergamotio/rpc_client.h
+++ b/src/libbergamotio/rpc_client.h
@@ -34,6 +34,9 @@
     /// First and longest pause after a failed connection; the pause doubles in between.
     Duration backoffMin { 50 };
     Duration backoffMax { 2000 };
+    /// End waiting calls with ConnectionLost when a connection cannot be opened, instead of at their deadline. For
+    /// callers that have another endpoint to turn to.
+    bool failsFast = false;
 };
 
 /// Calls one endpoint. Connects when the first call needs it and again after a loss. Each call ends by its deadline.
