Hold packets until targets are known, test silent targets, report load as it changes

In the zone cut, repeatable requests waited for their deadline on targets that could not be reached. Change: undecidable packets wait up to 0.5 s; connection timeout 0.15 s; a target that leaves packets unanswered is tested with a TCP connection, and two tests without an answer, or one refused, end repeatable flows; load reports go out 15 ms after a change, to other data centres every 0.1 s.

--- a/src/bergamot-directory/directory_exchange.cpp
+++ b/src/bergamot-directory/directory_exchange.cpp
@@ -218,13 +218,9 @@
     return records;
 }
 
-std::vector<schema::EntryHostRecord> DirectoryExchange::entryHosts(
-    const std::string& dataCentre, Duration within) const
+std::vector<schema::EntryHostRecord> DirectoryExchange::entryHosts(Duration within) const
 {
-    std::vector<schema::EntryHostRecord> records = m_entryHosts.records(within, m_loop.now());
-    std::erase_if(records,
-        [&dataCentre](const schema::EntryHostRecord& record) { return record.data_centre() != dataCentre; });
-    return records;
+    return m_entryHosts.records(within, m_loop.now());
 }
 
 const schema::ControlHostRecord* DirectoryExchange::findControlHost(const std::string& identity) const
--- a/src/bergamot-directory/directory_exchange.h
+++ b/src/bergamot-directory/directory_exchange.h
@@ -46,8 +46,8 @@
     /// @return control hosts heard within a time, this one included.
     std::vector<schema::ControlHostRecord> controlHosts(Duration within) const;
 
-    /// @return entry hosts of a data centre heard within a time.
-    std::vector<schema::EntryHostRecord> entryHosts(const std::string& dataCentre, Duration within) const;
+    /// @return entry hosts heard within a time.
+    std::vector<schema::EntryHostRecord> entryHosts(Duration within) const;
 
     const schema::ControlHostRecord* findControlHost(const std::string& identity) const;
 
--- a/src/bergamot-directory/entry_sync.cpp
+++ b/src/bergamot-directory/entry_sync.cpp
@@ -82,7 +82,7 @@
     const schema::Document& document = m_quorum.log().configuration().document();
     if (document.version() > request.document_version())
         *result.mutable_document() = document;
-    const auto entryHosts = m_exchange.entryHosts(request.sender().data_centre(), hostWithin);
+    const auto entryHosts = m_exchange.entryHosts(hostWithin);
     result.set_entry_hosts_fingerprint(fingerprintOf(entryHosts));
     if (result.entry_hosts_fingerprint() != request.seen_entry_hosts()) {
         for (const schema::EntryHostRecord& host : entryHosts)
--- a/src/bergamot-entry/control_link.cpp
+++ b/src/bergamot-entry/control_link.cpp
@@ -12,7 +12,7 @@
     constexpr Duration longestHold { 800 };
     constexpr Duration callDeadline { 1250 };
     /// Time for opening a connection; a machine without power does not answer at all.
-    constexpr Duration connectTimeout { 500 };
+    constexpr Duration connectTimeout { 150 };
     constexpr Duration longestBackoff { 100 };
     /// Pause after a failed call, so that an entry host without any control host does not spin.
     constexpr Duration failurePause { 40 };
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "bergamot-entry/cookie_entry_daemon.h"
 
+#include "libbergamotio/connect_probe.h"
 #include "libbergamotio/log.h"
 #include "libbergamotio/metrics.h"
 
@@ -15,9 +16,18 @@
     constexpr std::size_t reportBytes = 8192;
     constexpr unsigned mostBatchesPerTurn = 4;
     constexpr Duration checkInterval { 1000 };
-    /// Shortest time between load reports, and the addition for each host that gets them.
-    constexpr Duration reportInterval { 60 };
-    constexpr Duration reportIntervalPerPeer { 10 };
+    /// Packets that wait for the registry or the document, and for how long: shorter than a client's patience.
+    constexpr std::size_t heldPackets = 2048;
+    constexpr Duration heldLifetime { 500 };
+    /// Time for the answer to a connection test; several round trips inside a region.
+    constexpr Duration probeTimeout { 300 };
+    /// Shortest time between load reports to hosts of the own data centre and of others, and the addition for each host
+    /// that gets them, so that large groups do not fill small links.
+    constexpr Duration nearReportInterval { 15 };
+    constexpr Duration farReportInterval { 100 };
+    constexpr Duration reportIntervalPerPeer { 5 };
+    /// Reports without a change, so that others know that this host still runs.
+    constexpr Duration unchangedReportInterval { 500 };
     /// Part of the grace time for which a stopping host forwards.
     constexpr double forwardingShare = 0.75;
     constexpr Duration longestForwarding { 4500 };
@@ -93,13 +103,20 @@
     , m_reports(reportBytes)
     , m_readiness(loop)
     , m_metricsServer(loop)
+    , m_held(heldPackets, heldLifetime)
     , m_packetEndpoint(parseEndpoint(m_settings.packet_listen()))
     , m_timer(loop,
           [this] {
               m_steering.advance(m_loop.now());
               m_timer.start(checkInterval);
           })
-    , m_reportTimer(loop, [this] { sendReport(); })
+    , m_reportTimer(loop,
+          [this] {
+              m_reportArmed = false;
+              sendReport();
+          })
+    , m_heldTimer(loop, [this] { decideHeldPackets(); })
+    , m_probeTimer(loop, [this] { startProbes(); })
     , m_stopTimer(loop, [this] { m_loop.stop(); })
 {
     m_registry.setObserver(
@@ -113,7 +130,6 @@
     addSeeds(m_settings);
     m_link.start();
     m_timer.start(checkInterval);
-    m_reportTimer.start(reportInterval);
     writeLog(LogLevel::Info, ResultCode::Ok, "started", { { "packets", m_settings.packet_listen() } });
     return {};
 }
@@ -172,12 +188,16 @@
     for (const schema::TargetRecord& record : answer.targets())
         m_registry.merge(record, false, m_loop.now());
     if (answer.entry_hosts_size() > 0) {
-        m_peers.clear();
+        m_nearPeers.clear();
+        m_farPeers.clear();
         for (const schema::EntryHostRecord& host : answer.entry_hosts()) {
+            const bool isNear = host.data_centre() == m_settings.data_centre();
             if (host.host() != m_settings.host())
-                m_peers.push_back(parseEndpoint(host.peer_endpoint()));
+                (isNear ? m_nearPeers : m_farPeers).push_back(parseEndpoint(host.peer_endpoint()));
         }
     }
+    if (!m_held.isEmpty())
+        decideHeldPackets();
     if (!m_wasReady && isReady()) {
         m_wasReady = true;
         writeLog(LogLevel::Info, ResultCode::Ok, "ready",
@@ -229,20 +249,54 @@
 {
     for (unsigned batch = 0; batch < mostBatchesPerTurn; ++batch) {
         const std::size_t count = m_packets.receive(
-            [this](std::span<const std::byte> datagram, const Endpoint&) { handleDatagram(datagram); });
+            [this](std::span<const std::byte> datagram, const Endpoint&) {
+                if (handleDatagram(datagram, false))
+                    return;
+                ++m_traffic.held;
+                if (!m_held.add(datagram, m_loop.now()))
+                    handleDatagram(datagram, true);
+                m_heldTimer.start(m_held.lifetime());
+            });
+        m_traffic.received += count;
         if (count < UdpSocket::batchSize)
             break;
     }
     m_packets.flush();
+    startProbes();
+    scheduleReport();
+}
+
+void CookieEntryDaemon::startProbes()
+{
+    for (const ProbeRequest& request : m_steering.takeProbes(m_loop.now())) {
+        probeListener(m_loop, request.endpoint, probeTimeout, [this, request](ProbeOutcome outcome) {
+            const bool changed = m_steering.handleProbe(request.target, outcome, m_loop.now());
+            if (changed)
+                writeLog(LogLevel::Warning,
+                    outcome == ProbeOutcome::Connected ? ResultCode::TargetResponsive : ResultCode::TargetUnresponsive,
+                    outcome == ProbeOutcome::Refused ? "nothing listens" : "connection test",
+                    { { "target", request.target }, { "endpoint", request.endpoint.toString() } });
+            if (outcome != ProbeOutcome::Connected)
+                m_probeTimer.start(probeTimeout);
+        });
+    }
+}
+
+void CookieEntryDaemon::decideHeldPackets()
+{
+    m_held.decide(m_loop.now(),
+        [this](std::span<const std::byte> datagram, bool isLastTry) { return handleDatagram(datagram, isLastTry); });
+    m_packets.flush();
+    if (!m_held.isEmpty())
+        m_heldTimer.start(m_held.lifetime());
 }
 
-void CookieEntryDaemon::handleDatagram(std::span<const std::byte> datagram)
+bool CookieEntryDaemon::handleDatagram(std::span<const std::byte> datagram, bool isLastTry)
 {
-    ++m_traffic.received;
     const std::optional<FlowPacket> packet = m_adapter.codec.parse(datagram);
     if (!packet) {
         ++m_traffic.unreadable;
-        return;
+        return true;
     }
     const SteeringDecision decision = m_steering.handlePacket(*packet, m_loop.now());
     switch (decision.action) {
@@ -252,12 +306,18 @@
     case SteeringAction::Reset:
         reset(*packet, decision);
         break;
+    case SteeringAction::Hold:
+        if (!isLastTry)
+            return false;
+        ++m_traffic.dropped;
+        break;
     case SteeringAction::Drop:
         ++m_traffic.dropped;
         break;
     }
     if (decision.code != ResultCode::Ok)
         logDecision(*packet, decision);
+    return true;
 }
 
 void CookieEntryDaemon::forward(
@@ -304,15 +364,38 @@
     });
 }
 
+void CookieEntryDaemon::scheduleReport()
+{
+    if (std::exchange(m_reportArmed, true))
+        return;
+    const Duration interval = nearReportInterval + reportIntervalPerPeer * static_cast<int>(m_nearPeers.size());
+    m_reportTimer.startAt(std::max(m_loop.now(), m_lastNearReport + interval));
+}
+
 void CookieEntryDaemon::sendReport()
 {
-    if (!m_peers.empty()) {
-        const std::string bytes = m_steering.makeReport().SerializeAsString();
-        for (const Endpoint& peer : m_peers)
+    const TimePoint now = m_loop.now();
+    schema::TargetLoadReport report = m_steering.makeReport();
+    const std::uint64_t sequence = report.sequence();
+    report.clear_sequence();
+    std::string load = report.SerializeAsString();
+    if (load == m_reportedLoad && now - m_lastNearReport < unchangedReportInterval)
+        return;
+    m_reportedLoad = std::move(load);
+    report.set_sequence(sequence);
+    const std::string bytes = report.SerializeAsString();
+    const auto sendTo = [this, &bytes](const std::vector<Endpoint>& peers) {
+        for (const Endpoint& peer : peers)
             m_reports.queue(peer, {}, std::as_bytes(std::span(bytes)));
-        m_reports.flush();
+    };
+    sendTo(m_nearPeers);
+    m_lastNearReport = now;
+    const Duration farInterval = farReportInterval + reportIntervalPerPeer * static_cast<int>(m_farPeers.size());
+    if (now - m_lastFarReport >= farInterval) {
+        sendTo(m_farPeers);
+        m_lastFarReport = now;
     }
-    m_reportTimer.start(reportInterval + reportIntervalPerPeer * static_cast<int>(m_peers.size()));
+    m_reports.flush();
 }
 
 void CookieEntryDaemon::stop()
@@ -341,6 +424,12 @@
     add("packets_unreadable_total", "Datagrams that are no packets.", static_cast<double>(m_traffic.unreadable));
     add("packets_forwarded_total", "Packets sent to targets.", static_cast<double>(m_traffic.forwarded));
     add("packets_dropped_total", "Packets dropped.", static_cast<double>(m_traffic.dropped));
+    add("packets_held_total", "Packets that waited for a target or a document.",
+        static_cast<double>(m_traffic.held));
+    add("targets_probed_total", "Connection tests of targets that did not answer.",
+        static_cast<double>(counters.probes));
+    add("flows_target_unreachable_total", "Packets refused because their target cannot be reached.",
+        static_cast<double>(counters.targetUnreachable));
     add("send_errors_total", "Datagrams that the system did not take.",
         static_cast<double>(m_packets.sendErrors() + m_reports.sendErrors()));
     add("resets_total", "Flows refused or ended by this host.", static_cast<double>(m_traffic.resets));
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -5,6 +5,7 @@
 
 #include "bergamot-entry/control_link.h"
 #include "bergamotroute/cookie_steering.h"
+#include "bergamotroute/held_packets.h"
 #include "libbergamotio/event_loop.h"
 #include "libbergamotio/http_server.h"
 #include "libbergamotio/udp_socket.h"
@@ -49,6 +50,7 @@
         std::uint64_t forwarded = 0;
         std::uint64_t resets = 0;
         std::uint64_t dropped = 0;
+        std::uint64_t held = 0;
     };
 
     std::error_code openListeners();
@@ -57,11 +59,15 @@
     void installDocument(const schema::Document& document);
     void handleTargetEvent(const RegisteredTarget& target, TargetEvent event);
     void receivePackets();
-    void handleDatagram(std::span<const std::byte> datagram);
+    /// @return false if the packet must be decided on again.
+    bool handleDatagram(std::span<const std::byte> datagram, bool isLastTry);
+    void decideHeldPackets();
+    void startProbes();
     void forward(const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision);
     void reset(const FlowPacket& packet, const SteeringDecision& decision);
     void logDecision(const FlowPacket& packet, const SteeringDecision& decision) const;
     void receiveReports();
+    void scheduleReport();
     void sendReport();
     bool isReady() const;
     std::string metrics() const;
@@ -78,15 +84,23 @@
     std::unique_ptr<ReadWatch> m_reportWatch;
     HttpServer m_readiness;
     HttpServer m_metricsServer;
-    std::vector<Endpoint> m_peers;
+    std::vector<Endpoint> m_nearPeers;
+    std::vector<Endpoint> m_farPeers;
     std::vector<std::byte> m_scratch;
-    std::string m_lastReport;
+    HeldPackets m_held;
+    /// Load as last reported, without the report's number, and when.
+    std::string m_reportedLoad;
+    TimePoint m_lastNearReport;
+    TimePoint m_lastFarReport;
+    bool m_reportArmed = false;
     Endpoint m_packetEndpoint;
     Traffic m_traffic;
     bool m_stopping = false;
     bool m_wasReady = false;
     Timer m_timer;
     Timer m_reportTimer;
+    Timer m_heldTimer;
+    Timer m_probeTimer;
     Timer m_stopTimer;
 };
 
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bergamotroute {
 
@@ -37,6 +38,22 @@
     /// Tell the client that its flow is over.
     Reset,
     Drop,
+    /// Decide again when the registry or the document changes: this host does not know enough yet.
+    Hold,
+};
+
+/// Outcome of a connection that only tests whether a target listens.
+enum class ProbeOutcome {
+    Connected,
+    /// The machine answers and nothing listens: the target has ended.
+    Refused,
+    NoAnswer,
+};
+
+/// A target that should be tested.
+struct ProbeRequest {
+    std::string target;
+    Endpoint endpoint;
 };
 
 /// Decision on one packet.
@@ -72,6 +89,8 @@
     std::uint64_t targetGone = 0;
     std::uint64_t cookieUnknown = 0;
     std::uint64_t avoidedTargets = 0;
+    std::uint64_t targetUnreachable = 0;
+    std::uint64_t probes = 0;
 };
 
 /// The decisions of one entry host.
@@ -92,6 +111,13 @@
     /// Decides on a packet of a client. Views in the result are valid until the next call.
     SteeringDecision handlePacket(const FlowPacket& packet, TimePoint now);
 
+    /// @return targets to test now, because packets to them have had no answer.
+    std::vector<ProbeRequest> takeProbes(TimePoint now);
+
+    /// Takes over the outcome of a test.
+    /// @return true if it changes whether the target counts as reachable.
+    bool handleProbe(const std::string& target, ProbeOutcome outcome, TimePoint now);
+
     /// Takes over what another entry host reports of its load.
     void handleReport(const schema::TargetLoadReport& report, TimePoint now);
 
--- /dev/null
+++ b/src/include/bergamotroute/held_packets.h
@@ -0,0 +1,51 @@
+#pragma once
+
+/// @file
+/// Packets that cannot be decided on yet: a host that has just started gets packets before it knows the targets.
+/// Dropping them costs clients a retransmission timeout each.
+
+#include "bergamotroute/clock.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <span>
+#include <vector>
+
+namespace bergamotroute {
+
+/// Bounded queue of packets in order of arrival.
+class HeldPackets {
+public:
+    /// Decides on a packet.
+    /// @param isLastTry the packet has waited for its whole time.
+    /// @return false to wait further; ignored at the last try.
+    using Decision = std::function<bool(std::span<const std::byte> packet, bool isLastTry)>;
+
+    /// @param capacity most packets that wait.
+    /// @param lifetime longest wait of a packet.
+    HeldPackets(std::size_t capacity, Duration lifetime);
+
+    /// Copies a packet.
+    /// @return false if the queue is full.
+    bool add(std::span<const std::byte> packet, TimePoint now);
+
+    /// Decides on all packets again.
+    void decide(TimePoint now, const Decision& decision);
+
+    bool isEmpty() const { return m_packets.empty(); }
+    std::size_t size() const { return m_packets.size(); }
+    Duration lifetime() const { return m_lifetime; }
+
+private:
+    struct Held {
+        std::vector<std::byte> bytes;
+        TimePoint arrived;
+    };
+
+    std::size_t m_capacity;
+    Duration m_lifetime;
+    std::deque<Held> m_packets;
+};
+
+}
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -16,6 +16,10 @@
     constexpr Duration longestAvoidance { 4800 };
     /// A target that is gone may still end its last answers; its flows are reset only after this time.
     constexpr Duration resetDelayAfterGone { 300 };
+    /// Pause between tests of a target that does not answer.
+    constexpr Duration probePause { 300 };
+    /// Tests without an answer before a target counts as unreachable; one may be lost on the way.
+    constexpr std::uint32_t failedProbesForUnreachable = 2;
     /// Repeated first packets from this number on go to another target in any case.
     constexpr std::uint32_t lastCopyToSameTarget = 1;
 
@@ -46,6 +50,8 @@
     static SteeringDecision refuse(const FlowPacket& packet, ResultCode code);
     void avoid(PooledTarget& target, TimePoint now);
     static void noteAnswer(PooledTarget& target, TimePoint now);
+    static void suspect(PooledTarget& target, TimePoint now);
+    bool isRepeatable(const FlowPacket& packet) const;
 
     CookieSteeringOptions options;
     RouteTable routes;
@@ -93,6 +99,24 @@
     target.lastAnswer = now;
     target.avoidUntil = {};
     target.avoidances = 0;
+    target.suspected = false;
+    target.unreachable = false;
+    target.failedProbes = 0;
+}
+
+void CookieSteering::Implementation::suspect(PooledTarget& target, TimePoint now)
+{
+    if (target.suspected || target.phase == schema::TARGET_GONE)
+        return;
+    target.suspected = true;
+    target.suspectedSince = now;
+    target.nextProbe = now;
+}
+
+bool CookieSteering::Implementation::isRepeatable(const FlowPacket& packet) const
+{
+    const Route* route = routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
+    return route && route->kind != RequestKind::NonIdempotent;
 }
 
 SteeringDecision CookieSteering::Implementation::place(
@@ -100,8 +124,12 @@
 {
     const PlacementChoice choice = placement.choose(pool.targetsOf(service), excluded, now);
     if (!choice.target) {
-        ++counters.noTarget;
         SteeringDecision decision = refuse(packet, ResultCode::FlowNoTarget);
+        // A host that knows no target at all has just started.
+        if (pool.all().empty())
+            decision.action = SteeringAction::Hold;
+        else
+            ++counters.noTarget;
         decision.service = service;
         return decision;
     }
@@ -118,9 +146,13 @@
     ++counters.firstPackets;
     const Route* route = routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
     if (!route) {
-        ++counters.routeUnknown;
+        SteeringDecision unknown = refuse(packet, ResultCode::FlowRouteUnknown);
         // A host without a document cannot tell that a route does not exist.
-        return routes.version() == 0 ? SteeringDecision {} : refuse(packet, ResultCode::FlowRouteUnknown);
+        if (routes.version() == 0)
+            unknown.action = SteeringAction::Hold;
+        else
+            ++counters.routeUnknown;
+        return unknown;
     }
     const std::string& service = RouteTable::chooseService(*route, hashFlow(packet.flow, 0));
     SteeringDecision decision;
@@ -129,8 +161,10 @@
     if (known && !known->established && !known->closed && packet.acknowledgement > 0) {
         PooledTarget& former = *known->target;
         const bool silentSince = former.lastAnswer < known->lastPlaced;
-        if (silentSince)
+        if (silentSince) {
             avoid(former, now);
+            suspect(former, now);
+        }
         const bool stays = !silentSince && packet.acknowledgement <= lastCopyToSameTarget && former.takesNewFlows()
             && former.service == service;
         if (stays) {
@@ -157,6 +191,8 @@
     if (!target) {
         ++counters.cookieUnknown;
         SteeringDecision decision;
+        // The target may have started a moment ago and be known to another entry host only.
+        decision.action = SteeringAction::Hold;
         decision.code = ResultCode::FlowCookieUnknown;
         decision.cookie = packet.cookie;
         return decision;
@@ -170,8 +206,18 @@
         decision.service = target->service;
         return decision;
     }
-    if (flows.observe(packet, *target, now))
+    const FlowEvidence evidence = flows.observe(packet, *target, now);
+    if (evidence == FlowEvidence::Answered)
         noteAnswer(*target, now);
+    else if (evidence == FlowEvidence::Repeated)
+        suspect(*target, now);
+    if (target->unreachable && evidence == FlowEvidence::Repeated && isRepeatable(packet)) {
+        ++counters.targetUnreachable;
+        SteeringDecision decision = refuse(packet, ResultCode::TargetUnresponsive);
+        decision.target = target->id;
+        decision.service = target->service;
+        return decision;
+    }
     ++counters.forwarded;
     SteeringDecision decision = forwardTo(*target, ResultCode::Ok);
     decision.cookie = packet.cookie;
@@ -200,6 +246,42 @@
     return packet.isFirst() ? m_implementation->handleFirst(packet, now) : m_implementation->handleLater(packet, now);
 }
 
+std::vector<ProbeRequest> CookieSteering::takeProbes(TimePoint now)
+{
+    std::vector<ProbeRequest> requests;
+    for (const auto& [id, target] : m_implementation->pool.all()) {
+        if (!target->suspected || target->probeOpen || now < target->nextProbe
+            || target->phase == schema::TARGET_GONE)
+            continue;
+        target->probeOpen = true;
+        requests.push_back({ id, target->endpoint });
+        ++m_implementation->counters.probes;
+    }
+    return requests;
+}
+
+bool CookieSteering::handleProbe(const std::string& id, ProbeOutcome outcome, TimePoint now)
+{
+    const auto found = m_implementation->pool.all().find(id);
+    if (found == m_implementation->pool.all().end())
+        return false;
+    PooledTarget& target = *found->second;
+    target.probeOpen = false;
+    target.nextProbe = now + probePause;
+    const bool wasUnreachable = target.unreachable;
+    if (outcome == ProbeOutcome::Connected) {
+        target.suspected = false;
+        target.failedProbes = 0;
+        target.unreachable = false;
+        return wasUnreachable;
+    }
+    if (!target.suspected)
+        return false;
+    ++target.failedProbes;
+    target.unreachable = outcome == ProbeOutcome::Refused || target.failedProbes >= failedProbesForUnreachable;
+    return target.unreachable != wasUnreachable;
+}
+
 void CookieSteering::handleReport(const schema::TargetLoadReport& report, TimePoint now)
 {
     m_implementation->pool.setReport(report.host(), report, now);
--- /dev/null
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -0,0 +1,285 @@
+/// @file
+/// Guards against broken flows and wasted first packets under cookie steering: another entry host, a restarted one,
+/// targets that are full, dead, cut off or gone.
+
+#include "bergamotroute/cookie_steering.h"
+
+#include "bergamotroute/held_packets.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace bergamotroute;
+
+namespace {
+
+constexpr std::uint32_t serviceAddress = 0xc6120001;
+constexpr std::uint16_t repeatablePort = 443;
+constexpr std::uint16_t oncePort = 80;
+
+std::uint64_t numberOf(std::string_view id) { return std::stoull(std::string(id.substr(2)), nullptr, 16); }
+
+RoutingDocument makeDocument()
+{
+    RoutingDocument document;
+    document.version = 1;
+    document.services = { "orders" };
+    for (const std::uint16_t port : { repeatablePort, oncePort }) {
+        Route route;
+        route.name = "r-" + std::to_string(port);
+        route.address = serviceAddress;
+        route.port = port;
+        route.kind = port == oncePort ? RequestKind::NonIdempotent : RequestKind::Idempotent;
+        route.services = { { "orders", 1 } };
+        document.routes.push_back(route);
+    }
+    return document;
+}
+
+RegisteredTarget makeTarget(const std::string& id, schema::TargetPhase phase = schema::TARGET_READY)
+{
+    RegisteredTarget target;
+    target.record.set_id(id);
+    target.record.set_service("orders");
+    target.record.set_endpoint("10.0.0." + id.substr(2) + ":80");
+    target.record.set_data_centre("a");
+    target.record.set_slots(2);
+    target.record.set_phase(phase);
+    target.record.set_born_ms(1);
+    return target;
+}
+
+FlowPacket firstPacket(std::uint16_t clientPort, std::uint16_t servicePort = repeatablePort, std::uint32_t copy = 0)
+{
+    FlowPacket packet;
+    packet.flow = { 0x64400001, serviceAddress, clientPort, servicePort };
+    packet.syn = true;
+    packet.sequence = 1000;
+    packet.acknowledgement = copy;
+    return packet;
+}
+
+FlowPacket laterPacket(const FlowPacket& first, Cookie cookie, std::uint32_t sequence, std::uint16_t bytes,
+    std::uint32_t acknowledgement)
+{
+    FlowPacket packet;
+    packet.flow = first.flow;
+    packet.ack = true;
+    packet.cookie = cookie;
+    packet.sequence = sequence;
+    packet.dataBytes = bytes;
+    packet.acknowledgement = acknowledgement;
+    return packet;
+}
+
+struct Fixture {
+    ManualClock clock;
+    CookieSteering steering { CookieSteeringOptions { "entry-1", "a", numberOf } };
+
+    Fixture() { teach(steering); }
+
+    void teach(CookieSteering& host)
+    {
+        host.installDocument(makeDocument());
+        for (const char* id : { "i-11", "i-12", "i-13" })
+            host.updateTarget(makeTarget(id), clock.now());
+    }
+
+    SteeringDecision handle(const FlowPacket& packet) { return steering.handlePacket(packet, clock.now()); }
+
+    /// Opens a flow and sends a request on it that is never answered.
+    Cookie openAndAsk(const FlowPacket& first)
+    {
+        const Cookie cookie = handle(first).cookie;
+        handle(laterPacket(first, cookie, 1001, 0, 500));
+        handle(laterPacket(first, cookie, 1001, 100, 500));
+        return cookie;
+    }
+
+    std::string idOf(Cookie cookie) const
+    {
+        std::array<char, 16> text {};
+        std::snprintf(text.data(), text.size(), "i-%x", cookie);
+        return text.data();
+    }
+};
+
+}
+
+TEST_CASE_FIXTURE(Fixture, "a flow stays on its target at an entry host that has never seen it")
+{
+    const FlowPacket first = firstPacket(1);
+    const SteeringDecision placed = handle(first);
+    REQUIRE(placed.action == SteeringAction::Forward);
+    CookieSteering other { CookieSteeringOptions { "entry-2", "a", numberOf } };
+    teach(other);
+    const SteeringDecision later = other.handlePacket(laterPacket(first, placed.cookie, 1001, 50, 1), clock.now());
+    CHECK(later.action == SteeringAction::Forward);
+    CHECK(later.endpoint == placed.endpoint);
+    CHECK(later.targetNumber == placed.targetNumber);
+}
+
+TEST_CASE_FIXTURE(Fixture, "new flows spread evenly over targets of equal load")
+{
+    std::map<Cookie, int> flows;
+    for (std::uint16_t port = 1; port <= 60; ++port)
+        ++flows[handle(firstPacket(port)).cookie];
+    REQUIRE(flows.size() == 3);
+    for (const auto& [cookie, count] : flows) {
+        CHECK(count >= 19);
+        CHECK(count <= 21);
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "load that another entry host reports moves new flows elsewhere")
+{
+    schema::TargetLoadReport report;
+    report.set_host("entry-2");
+    report.set_sequence(1);
+    for (const Cookie cookie : { 0x11U, 0x12U }) {
+        schema::TargetLoad& load = *report.add_loads();
+        load.set_cookie(cookie);
+        load.set_requests(6);
+    }
+    steering.handleReport(report, clock.now());
+    for (std::uint16_t port = 1; port <= 4; ++port)
+        CHECK(handle(firstPacket(port)).cookie == 0x13);
+    // A host that stops reporting must not keep targets busy for ever.
+    clock.advance(Duration(2000));
+    steering.advance(clock.now());
+    CHECK(handle(firstPacket(9)).cookie != 0x13);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a repeated first packet goes to another target when the first one is silent")
+{
+    const Cookie former = handle(firstPacket(1)).cookie;
+    clock.advance(Duration(200));
+    const SteeringDecision again = handle(firstPacket(1, repeatablePort, 1));
+    CHECK(again.action == SteeringAction::Forward);
+    CHECK(again.code == ResultCode::FlowPlacedAgain);
+    CHECK(again.cookie != former);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a repeated first packet stays at a target that answers others")
+{
+    std::map<Cookie, FlowPacket> openFlows;
+    const FlowPacket waiting = firstPacket(1);
+    const Cookie target = handle(waiting).cookie;
+    Cookie otherCookie = 0;
+    for (std::uint16_t port = 2; otherCookie != target; ++port) {
+        const FlowPacket first = firstPacket(port);
+        otherCookie = handle(first).cookie;
+        handle(laterPacket(first, otherCookie, 1001, 0, 500));
+    }
+    CHECK(handle(firstPacket(1, repeatablePort, 1)).cookie == target);
+    CHECK(handle(firstPacket(1, repeatablePort, 2)).cookie != target);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a draining target gets no new flows and keeps its open ones")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndAsk(first);
+    steering.updateTarget(makeTarget(idOf(cookie), schema::TARGET_DRAINING), clock.now());
+    for (std::uint16_t port = 2; port < 20; ++port)
+        CHECK(handle(firstPacket(port)).cookie != cookie);
+    CHECK(handle(laterPacket(first, cookie, 1101, 10, 600)).action == SteeringAction::Forward);
+}
+
+TEST_CASE_FIXTURE(Fixture, "only a target that is gone resets its flows, a silent one does not")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndAsk(first);
+    RegisteredTarget silent = makeTarget(idOf(cookie));
+    silent.silent = true;
+    steering.updateTarget(silent, clock.now());
+    CHECK(handle(laterPacket(first, cookie, 1101, 10, 600)).action == SteeringAction::Forward);
+    steering.updateTarget(makeTarget(idOf(cookie), schema::TARGET_GONE), clock.now());
+    // Its last answers may still be on their way.
+    CHECK(handle(laterPacket(first, cookie, 1111, 10, 700)).action == SteeringAction::Forward);
+    clock.advance(Duration(300));
+    const SteeringDecision ended = handle(laterPacket(first, cookie, 1111, 10, 700));
+    CHECK(ended.action == SteeringAction::Reset);
+    CHECK(ended.resetSequence == 700);
+}
+
+TEST_CASE_FIXTURE(Fixture, "two tests without an answer end repeatable flows, never ones that may run once")
+{
+    const FlowPacket repeatable = firstPacket(1);
+    const Cookie cookie = openAndAsk(repeatable);
+    const FlowPacket repeated = laterPacket(repeatable, cookie, 1001, 100, 500);
+    CHECK(handle(repeated).action == SteeringAction::Forward);
+    REQUIRE(steering.takeProbes(clock.now()).size() == 1);
+    CHECK(steering.takeProbes(clock.now()).empty());
+    CHECK_FALSE(steering.handleProbe(idOf(cookie), ProbeOutcome::NoAnswer, clock.now()));
+    CHECK(handle(repeated).action == SteeringAction::Forward);
+    clock.advance(Duration(300));
+    REQUIRE(steering.takeProbes(clock.now()).size() == 1);
+    CHECK(steering.handleProbe(idOf(cookie), ProbeOutcome::NoAnswer, clock.now()));
+    CHECK(handle(repeated).action == SteeringAction::Reset);
+    FlowPacket once = firstPacket(2, oncePort);
+    once = laterPacket(once, cookie, 1001, 100, 500);
+    handle(once);
+    CHECK(handle(once).action == SteeringAction::Forward);
+    // New flows go elsewhere until it answers again.
+    for (std::uint16_t port = 3; port < 20; ++port)
+        CHECK(handle(firstPacket(port)).cookie != cookie);
+    clock.advance(Duration(300));
+    steering.takeProbes(clock.now());
+    CHECK(steering.handleProbe(idOf(cookie), ProbeOutcome::Connected, clock.now()));
+    CHECK(handle(repeated).action == SteeringAction::Forward);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a refused connection proves at once that the target has ended")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndAsk(first);
+    const FlowPacket repeated = laterPacket(first, cookie, 1001, 100, 500);
+    handle(repeated);
+    steering.takeProbes(clock.now());
+    CHECK(steering.handleProbe(idOf(cookie), ProbeOutcome::Refused, clock.now()));
+    CHECK(handle(repeated).action == SteeringAction::Reset);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a first packet without a route is refused, but not by a host without a document")
+{
+    FlowPacket packet = firstPacket(1);
+    packet.flow.servicePort = 8080;
+    CHECK(handle(packet).action == SteeringAction::Reset);
+    CookieSteering fresh { CookieSteeringOptions { "entry-2", "a", numberOf } };
+    CHECK(fresh.handlePacket(packet, clock.now()).action == SteeringAction::Hold);
+}
+
+TEST_CASE_FIXTURE(Fixture, "packets that reach a starting host before the targets are known are not lost")
+{
+    CookieSteering fresh { CookieSteeringOptions { "entry-2", "a", numberOf } };
+    HeldPackets held(2, Duration(500));
+    const FlowPacket later = laterPacket(firstPacket(1), 0x11, 1001, 10, 1);
+    CHECK(fresh.handlePacket(later, clock.now()).action == SteeringAction::Hold);
+    const std::array<std::byte, 4> bytes {};
+    CHECK(held.add(bytes, clock.now()));
+    CHECK(held.add(bytes, clock.now()));
+    CHECK_FALSE(held.add(bytes, clock.now()));
+    teach(fresh);
+    int forwarded = 0;
+    held.decide(clock.now(), [&](std::span<const std::byte>, bool) {
+        forwarded += fresh.handlePacket(later, clock.now()).action == SteeringAction::Forward ? 1 : 0;
+        return forwarded == 1;
+    });
+    CHECK(forwarded == 2);
+    // The second one was to wait further; it gets a last try at the end of its time.
+    CHECK(held.size() == 1);
+    clock.advance(Duration(500));
+    bool lastTry = false;
+    held.decide(clock.now(), [&](std::span<const std::byte>, bool isLastTry) { return !(lastTry = isLastTry); });
+    CHECK(lastTry);
+    CHECK(held.isEmpty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "targets whose cookies collide never share flows")
+{
+    // Numbers above 32 bits are hashed; the earlier start keeps the cookie.
+    RegisteredTarget later = makeTarget("i-14");
+    later.record.set_born_ms(2);
+    steering.updateTarget(later, clock.now());
+    CHECK(steering.handlePacket(laterPacket(firstPacket(1), 0x14, 1, 1, 1), clock.now()).targetNumber == 0x14);
+}
--- a/src/libbergamot/cookie/flow_table.cpp
+++ b/src/libbergamot/cookie/flow_table.cpp
@@ -66,36 +66,41 @@
     return &record;
 }
 
-bool FlowTable::observe(const FlowPacket& packet, PooledTarget& target, TimePoint now)
+FlowEvidence FlowTable::observe(const FlowPacket& packet, PooledTarget& target, TimePoint now)
 {
     FlowRecord* record = find(packet.flow);
-    if (!record || record->target != &target) {
+    const bool isAdopted = !record || record->target != &target;
+    if (isAdopted) {
         // The flow was opened through another host, or this host has just started.
         record = place(packet.flow, target, now);
         if (!record)
-            return false;
+            return FlowEvidence::None;
         setPending(*record, false);
     }
     record->lastSeen = now;
-    bool answered = false;
+    FlowEvidence evidence = FlowEvidence::None;
     if (!record->established) {
         record->established = true;
-        answered = true;
+        // The first packet that this host sees of an older flow may be a repeated one.
+        if (!isAdopted)
+            evidence = FlowEvidence::Answered;
         record->acknowledged = packet.acknowledgement;
         record->nextSequence = packet.sequence;
     } else if (isAfter(packet.acknowledgement, record->acknowledged)) {
         record->acknowledged = packet.acknowledgement;
         setPending(*record, false);
-        answered = true;
+        evidence = FlowEvidence::Answered;
     }
     const std::uint32_t end = packet.sequence + packet.dataBytes;
     if (packet.dataBytes > 0 && isAfter(end, record->nextSequence)) {
         record->nextSequence = end;
         setPending(*record, true);
+    } else if (packet.dataBytes > 0 && evidence == FlowEvidence::None) {
+        evidence = FlowEvidence::Repeated;
     }
     if (packet.fin || packet.rst)
         close(*record);
-    return answered;
+    return evidence;
 }
 
 void FlowTable::expire(Duration idle, Duration oldest, TimePoint now)
--- a/src/libbergamot/cookie/flow_table.h
+++ b/src/libbergamot/cookie/flow_table.h
@@ -26,6 +26,15 @@
     bool closed = false;
 };
 
+/// What a packet of a client tells of the flow's target.
+enum class FlowEvidence {
+    None,
+    /// The client has received something new from the target.
+    Answered,
+    /// The client repeats data that the target has not acknowledged.
+    Repeated,
+};
+
 /// Flows by their addresses, bounded in number and age.
 class FlowTable {
 public:
@@ -42,8 +51,8 @@
     FlowRecord* place(const FlowId& flow, PooledTarget& target, TimePoint now);
 
     /// Takes the sequence numbers of a packet of a known or adopted flow into account.
-    /// @return true if the packet shows that the target has answered since the last one.
-    bool observe(const FlowPacket& packet, PooledTarget& target, TimePoint now);
+    /// @return what the packet tells of the target.
+    FlowEvidence observe(const FlowPacket& packet, PooledTarget& target, TimePoint now);
 
     /// Forgets flows that are closed, idle or old.
     void expire(Duration idle, Duration oldest, TimePoint now);
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -31,7 +31,9 @@
     const bool isRestart = !isNew && target.bornMs != record.born_ms();
     if (isRestart) {
         target.own = {};
-        target.unanswered = 0;
+        target.suspected = false;
+        target.unreachable = false;
+        target.failedProbes = 0;
         target.avoidUntil = {};
         target.avoidances = 0;
     }
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -46,10 +46,15 @@
     /// As seen by this host, and reported by others.
     ObservedLoad own;
     ObservedLoad others;
-    /// First packets since the last sign of life that have no answer yet.
-    std::uint32_t unanswered = 0;
-    TimePoint unansweredSince;
     TimePoint lastAnswer;
+    /// A client repeated a packet after the last answer; time of the first such packet.
+    bool suspected = false;
+    TimePoint suspectedSince;
+    bool probeOpen = false;
+    TimePoint nextProbe;
+    std::uint32_t failedProbes = 0;
+    /// Tests show that it cannot be reached from this host.
+    bool unreachable = false;
     /// No new flows before this time, because first packets got no answer.
     TimePoint avoidUntil;
     std::uint32_t avoidances = 0;
--- /dev/null
+++ b/src/libbergamotio/connect_probe.cpp
@@ -0,0 +1,69 @@
+#include "libbergamotio/connect_probe.h"
+
+#include "libbergamotio/socket_address.h"
+
+#include <cerrno>
+#include <event2/event.h>
+#include <memory>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// One test; deletes itself when it ends.
+    struct Probe {
+        int descriptor = -1;
+        std::unique_ptr<event, EventDeleter> item;
+        std::function<void(ProbeOutcome)> handler;
+    };
+
+    ProbeOutcome outcomeOf(int descriptor)
+    {
+        int error = 0;
+        socklen_t length = sizeof(error);
+        if (::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0)
+            return ProbeOutcome::NoAnswer;
+        sockaddr_storage peer {};
+        socklen_t peerLength = sizeof(peer);
+        if (error == 0 && ::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &peerLength) == 0)
+            return ProbeOutcome::Connected;
+        return error == ECONNREFUSED ? ProbeOutcome::Refused : ProbeOutcome::NoAnswer;
+    }
+
+    void finish(evutil_socket_t, short, void* argument)
+    {
+        const std::unique_ptr<Probe> probe(static_cast<Probe*>(argument));
+        // After a pause of this process the timeout may come first although the connection is open.
+        const ProbeOutcome outcome
+            = probe->descriptor < 0 ? ProbeOutcome::NoAnswer : outcomeOf(probe->descriptor);
+        if (probe->descriptor >= 0)
+            ::close(probe->descriptor);
+        probe->handler(outcome);
+    }
+
+}
+
+void probeListener(
+    EventLoop& loop, const Endpoint& endpoint, Duration timeout, std::function<void(ProbeOutcome)> handler)
+{
+    const SocketAddress address = toSocketAddress(endpoint);
+    auto probe = std::make_unique<Probe>();
+    probe->handler = std::move(handler);
+    probe->descriptor = ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const bool started = probe->descriptor >= 0
+        && (::connect(probe->descriptor, address.get(), address.length) == 0 || errno == EINPROGRESS);
+    // The outcome of a connection that ended at once is read in the same way, later on the loop.
+    constexpr long millisecondsPerSecond = 1000;
+    constexpr long microsecondsPerMillisecond = 1000;
+    const timeval wait { started ? timeout.count() / millisecondsPerSecond : 0,
+        started ? timeout.count() % millisecondsPerSecond * microsecondsPerMillisecond : 0 };
+    Probe& owned = *probe.release();
+    owned.item.reset(event_new(
+        loop.base(), owned.descriptor, owned.descriptor >= 0 ? EV_WRITE | EV_TIMEOUT : EV_TIMEOUT, finish, &owned));
+    event_add(owned.item.get(), &wait);
+}
+
+}
