--- a/src/bergamot-control/control_daemon.cpp
+++ b/src/bergamot-control/control_daemon.cpp
@@ -139,7 +139,8 @@
 
 void ControlDaemon::logState()
 {
-    writeLog(LogLevel::Info, ResultCode::Ok, "state", { { "state", toJson(m_quorum.log().dump(m_loop.now()), false) } });
+    writeLog(
+        LogLevel::Info, ResultCode::Ok, "state", { { "state", toJson(m_quorum.log().dump(m_loop.now()), false) } });
 }
 
 }
--- a/src/bergamot-control/operator_routes.cpp
+++ b/src/bergamot-control/operator_routes.cpp
@@ -90,7 +90,8 @@
     if (!valid && exchange->query("stale") != "1") {
         const std::string text = "the lease is not valid here; leader: " + m_quorum.log().leader();
         exchange->reply(HttpStatus::ServiceUnavailable,
-            toJson(refusal({}, ResultCode::LeaseExpired, text, m_quorum.log().configuration().revision()), false), jsonType);
+            toJson(refusal({}, ResultCode::LeaseExpired, text, m_quorum.log().configuration().revision()), false),
+            jsonType);
         return;
     }
     exchange->addHeader(leaseHeader, valid ? "valid" : "expired");
@@ -104,8 +105,8 @@
         exchange->reply(HttpStatus::Ok, toJson(known->result(), false), jsonType);
         return;
     }
-    schema::CommandResult unknown = refusal(
-        id, ResultCode::UnknownRequest, "not remembered on this control host", m_quorum.log().configuration().revision());
+    schema::CommandResult unknown = refusal(id, ResultCode::UnknownRequest, "not remembered on this control host",
+        m_quorum.log().configuration().revision());
     unknown.set_outcome(schema::OUTCOME_UNKNOWN);
     exchange->reply(HttpStatus::NotFound, toJson(unknown, false), jsonType);
 }
@@ -136,7 +137,8 @@
 
 void ControlDaemon::handleHealth(const ExchangePointer& exchange)
 {
-    const bool ready = m_quorum.log().isFormed() && m_quorum.log().role() != QuorumRole::Stopped && !m_quorum.log().leader().empty();
+    const bool ready
+        = m_quorum.log().isFormed() && m_quorum.log().role() != QuorumRole::Stopped && !m_quorum.log().leader().empty();
     exchange->reply(ready ? HttpStatus::Ok : HttpStatus::ServiceUnavailable,
         ready ? "{\"status\":\"ok\"}" : "{\"status\":\"not ready\"}", jsonType);
 }
@@ -170,8 +172,10 @@
     counter("commands_not_accepted_total", "Commands answered as not accepted.", m_refusedCommands);
     counter("commands_unknown_total", "Commands answered as unknown or not entered.", m_unknownCommands);
     counter("messages_sent_total", "Messages sent to control hosts.", m_quorum.links().sentMessages());
-    counter("messages_failed_total", "Messages to control hosts that were not delivered.", m_quorum.links().failedMessages());
-    counter("probes_failed_total", "Connections closed because a probe had no answer.", m_quorum.links().failedProbes());
+    counter("messages_failed_total", "Messages to control hosts that were not delivered.",
+        m_quorum.links().failedMessages());
+    counter(
+        "probes_failed_total", "Connections closed because a probe had no answer.", m_quorum.links().failedProbes());
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -94,8 +94,7 @@
 
 }
 
-DirectoryDaemon::DirectoryDaemon(
-    EventLoop& loop, schema::DirectorySettings settings, const OperatorProtocol& protocol)
+DirectoryDaemon::DirectoryDaemon(EventLoop& loop, schema::DirectorySettings settings, const OperatorProtocol& protocol)
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_protocol(protocol)
@@ -237,8 +236,7 @@
     std::vector<AnnouncedControlHost> announced;
     for (const schema::ControlHostRecord& record : m_exchange.controlHosts(memberWithin)) {
         if (!record.identity().empty())
-            announced.push_back(
-                { record.identity(), record.host(), record.rpc_endpoint(), Duration(record.age_ms()) });
+            announced.push_back({ record.identity(), record.host(), record.rpc_endpoint(), Duration(record.age_ms()) });
     }
     const auto step = m_members.advance(m_quorum.log().members(), announced, m_quorum.identity(), now);
     if (!step)
@@ -248,8 +246,8 @@
     command.set_request_id("member-" + std::to_string(random()));
     *command.add_changes() = step->change;
     m_changePending = true;
-    writeLog(LogLevel::Info, ResultCode::MemberChanged, step->reason,
-        { { "change", step->change.ShortDebugString() } });
+    writeLog(
+        LogLevel::Info, ResultCode::MemberChanged, step->reason, { { "change", step->change.ShortDebugString() } });
     m_quorum.submit(command, [this](const schema::CommandResult& result) {
         m_changePending = false;
         if (result.outcome() != schema::OUTCOME_ACCEPTED)
@@ -265,8 +263,7 @@
         return;
     }
     m_stopping = true;
-    writeLog(LogLevel::Info, ResultCode::Ok, "stops",
-        { { "pending", std::to_string(m_quorum.pendingCommands()) } });
+    writeLog(LogLevel::Info, ResultCode::Ok, "stops", { { "pending", std::to_string(m_quorum.pendingCommands()) } });
     m_sync.finish();
     m_stopTimer.start(stopGrace);
 }
--- a/src/bergamot-directory/directory_daemon.h
+++ b/src/bergamot-directory/directory_daemon.h
@@ -64,8 +64,7 @@
 
     void putDocument(const ExchangePointer& exchange);
     void submitDocument(const ExchangePointer& exchange, std::uint64_t version);
-    void answerDocument(
-        const ExchangePointer& exchange, std::uint64_t version, const schema::CommandResult& result);
+    void answerDocument(const ExchangePointer& exchange, std::uint64_t version, const schema::CommandResult& result);
     void getDocument(const ExchangePointer& exchange);
     void redirectToLeader(const ExchangePointer& exchange);
     void putTarget(const ExchangePointer& exchange);
--- a/src/bergamot-directory/directory_exchange.cpp
+++ b/src/bergamot-directory/directory_exchange.cpp
@@ -49,8 +49,7 @@
 
 void DirectoryExchange::serve(RpcServer& server)
 {
-    server.handle(
-        exchangePath, [this](const std::string& body, const RpcReply& reply) { handleCall(body, reply); });
+    server.handle(exchangePath, [this](const std::string& body, const RpcReply& reply) { handleCall(body, reply); });
     m_roundTimer.start(Duration(0));
 }
 
@@ -122,8 +121,8 @@
 void DirectoryExchange::callPeer(const std::string& endpoint, Peer& peer)
 {
     peer.callOpen = true;
-    peer.client->call(exchangePath, makeMessage(peer).SerializeAsString(), callDeadline,
-        [this, endpoint](const RpcResult& result) {
+    peer.client->call(
+        exchangePath, makeMessage(peer).SerializeAsString(), callDeadline, [this, endpoint](const RpcResult& result) {
             Peer& called = m_peers.at(endpoint);
             called.callOpen = false;
             schema::DirectoryExchange answer;
@@ -211,9 +210,8 @@
 std::vector<schema::ControlHostRecord> DirectoryExchange::controlHosts(Duration within) const
 {
     std::vector<schema::ControlHostRecord> records = m_controlHosts.records(within, m_loop.now());
-    std::erase_if(records, [this](const schema::ControlHostRecord& record) {
-        return record.rpc_endpoint() == m_self.rpc_endpoint();
-    });
+    std::erase_if(records,
+        [this](const schema::ControlHostRecord& record) { return record.rpc_endpoint() == m_self.rpc_endpoint(); });
     records.push_back(m_self);
     return records;
 }
--- a/src/bergamot-directory/operator_routes.cpp
+++ b/src/bergamot-directory/operator_routes.cpp
@@ -61,9 +61,8 @@
     schema::Document& document = *command.add_changes()->mutable_put_document();
     document.set_version(version);
     document.set_content(exchange->body());
-    m_quorum.submit(command, [this, exchange, version](const schema::CommandResult& result) {
-        answerDocument(exchange, version, result);
-    });
+    m_quorum.submit(command,
+        [this, exchange, version](const schema::CommandResult& result) { answerDocument(exchange, version, result); });
 }
 
 void DirectoryDaemon::answerDocument(
@@ -139,8 +138,8 @@
 {
     ++m_counters.leaves;
     m_registry.remove(idOf(*exchange), m_protocol.readLeave(exchange->body()), m_loop.now());
-    m_exchange.whenSpread(spreadLimit,
-        [this, exchange] { exchange->reply(HttpStatus::Ok, m_protocol.heartbeatAnswer(), jsonType); });
+    m_exchange.whenSpread(
+        spreadLimit, [this, exchange] { exchange->reply(HttpStatus::Ok, m_protocol.heartbeatAnswer(), jsonType); });
 }
 
 std::string DirectoryDaemon::metrics() const
@@ -170,8 +169,7 @@
     add("leads", "One if this host leads the quorum.", m_quorum.log().role() == QuorumRole::Leader ? 1 : 0);
     add("members", "Members of the quorum.", static_cast<double>(m_quorum.log().members().size()));
     add("targets", "Targets in the registry.", static_cast<double>(m_registry.targets().size()));
-    add("waiting_entry_calls", "Calls of entry hosts that wait for news.",
-        static_cast<double>(m_sync.waitingCalls()));
+    add("waiting_entry_calls", "Calls of entry hosts that wait for news.", static_cast<double>(m_sync.waitingCalls()));
     add("failed_exchanges_total", "Exchanges with control hosts that failed.",
         static_cast<double>(m_exchange.failedCalls()));
     add("log_lines_dropped_total", "Log lines dropped because the reader was too slow.",
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -158,10 +158,9 @@
     error = m_readiness.listen(parseEndpoint(m_settings.readiness_listen()));
     if (!check(m_settings.readiness_listen()) || m_settings.metrics_port() == 0)
         return error;
-    m_metricsServer.route(
-        "GET", "/metrics", HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
-            exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
-        });
+    m_metricsServer.route("GET", "/metrics", HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
+    });
     const std::string metricsText = hostAndPort(m_settings.address(), m_settings.metrics_port());
     error = m_metricsServer.listen(parseEndpoint(metricsText));
     check(metricsText);
@@ -248,15 +247,14 @@
 void CookieEntryDaemon::receivePackets()
 {
     for (unsigned batch = 0; batch < mostBatchesPerTurn; ++batch) {
-        const std::size_t count = m_packets.receive(
-            [this](std::span<const std::byte> datagram, const Endpoint&) {
-                if (handleDatagram(datagram, false))
-                    return;
-                ++m_traffic.held;
-                if (!m_held.add(datagram, m_loop.now()))
-                    handleDatagram(datagram, true);
-                m_heldTimer.start(m_held.lifetime());
-            });
+        const std::size_t count = m_packets.receive([this](std::span<const std::byte> datagram, const Endpoint&) {
+            if (handleDatagram(datagram, false))
+                return;
+            ++m_traffic.held;
+            if (!m_held.add(datagram, m_loop.now()))
+                handleDatagram(datagram, true);
+            m_heldTimer.start(m_held.lifetime());
+        });
         m_traffic.received += count;
         if (count < UdpSocket::batchSize)
             break;
@@ -350,8 +348,7 @@
         { { "flow", describeFlow(packet.flow) }, { "route", std::string(decision.route) },
             { "service", std::string(decision.service) }, { "target", std::string(decision.target) },
             { "cost", cost.data() }, { "candidates", std::to_string(decision.candidates) },
-            { "copy", std::to_string(decision.copy) },
-            { "version", std::to_string(m_steering.documentVersion()) },
+            { "copy", std::to_string(decision.copy) }, { "version", std::to_string(m_steering.documentVersion()) },
             { "view_age_ms", std::to_string(m_link.sinceCurrent().count()) } });
 }
 
@@ -405,11 +402,9 @@
         return;
     }
     m_stopping = true;
-    const Duration forwarding
-        = std::min(longestForwarding, toDuration(m_settings.grace_seconds() * forwardingShare));
+    const Duration forwarding = std::min(longestForwarding, toDuration(m_settings.grace_seconds() * forwardingShare));
     writeLog(LogLevel::Info, ResultCode::Ok, "stops",
-        { { "flows", std::to_string(m_steering.flowCount()) },
-            { "forwards_ms", std::to_string(forwarding.count()) } });
+        { { "flows", std::to_string(m_steering.flowCount()) }, { "forwards_ms", std::to_string(forwarding.count()) } });
     m_stopTimer.start(forwarding);
 }
 
@@ -424,8 +419,7 @@
     add("packets_unreadable_total", "Datagrams that are no packets.", static_cast<double>(m_traffic.unreadable));
     add("packets_forwarded_total", "Packets sent to targets.", static_cast<double>(m_traffic.forwarded));
     add("packets_dropped_total", "Packets dropped.", static_cast<double>(m_traffic.dropped));
-    add("packets_held_total", "Packets that waited for a target or a document.",
-        static_cast<double>(m_traffic.held));
+    add("packets_held_total", "Packets that waited for a target or a document.", static_cast<double>(m_traffic.held));
     add("targets_probed_total", "Connection tests of targets that did not answer.",
         static_cast<double>(counters.probes));
     add("flows_target_unreachable_total", "Packets refused because their target cannot be reached.",
@@ -433,8 +427,7 @@
     add("send_errors_total", "Datagrams that the system did not take.",
         static_cast<double>(m_packets.sendErrors() + m_reports.sendErrors()));
     add("resets_total", "Flows refused or ended by this host.", static_cast<double>(m_traffic.resets));
-    add("first_packets_total", "First packets of flows, copies included.",
-        static_cast<double>(counters.firstPackets));
+    add("first_packets_total", "First packets of flows, copies included.", static_cast<double>(counters.firstPackets));
     add("flows_placed_total", "Flows given a target.", static_cast<double>(counters.placed));
     add("flows_placed_again_total", "Flows given another target after a repeated first packet.",
         static_cast<double>(counters.placedAgain));
@@ -450,8 +443,7 @@
     add("document_version", "Version in force on this host.", static_cast<double>(m_steering.documentVersion()));
     add("view_age_seconds", "Time since the last answer of a control host that hears from a majority.",
         std::chrono::duration<double>(m_link.sinceCurrent()).count());
-    add("control_calls_failed_total", "Calls to control hosts that failed.",
-        static_cast<double>(m_link.failedCalls()));
+    add("control_calls_failed_total", "Calls to control hosts that failed.", static_cast<double>(m_link.failedCalls()));
     add("ready", "One if the readiness page answers 200.", isReady() ? 1 : 0);
     add("log_lines_dropped_total", "Log lines dropped because the reader was too slow.",
         static_cast<double>(logCounters().dropped));
--- a/src/include/bergamotroute/member_policy.h
+++ b/src/include/bergamotroute/member_policy.h
@@ -66,8 +66,8 @@
         TimePoint last;
     };
 
-    void look(std::span<const schema::ControlMember> members, std::span<const AnnouncedControlHost> announced,
-        TimePoint now);
+    void look(
+        std::span<const schema::ControlMember> members, std::span<const AnnouncedControlHost> announced, TimePoint now);
     std::optional<MemberStep> removeReplaced(std::span<const schema::ControlMember> members,
         std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const;
     std::optional<MemberStep> removeSurplus(
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -250,8 +250,7 @@
 {
     std::vector<ProbeRequest> requests;
     for (const auto& [id, target] : m_implementation->pool.all()) {
-        if (!target->suspected || target->probeOpen || now < target->nextProbe
-            || target->phase == schema::TARGET_GONE)
+        if (!target->suspected || target->probeOpen || now < target->nextProbe || target->phase == schema::TARGET_GONE)
             continue;
         target->probeOpen = true;
         requests.push_back({ id, target->endpoint });
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -59,8 +59,8 @@
     return packet;
 }
 
-FlowPacket laterPacket(const FlowPacket& first, Cookie cookie, std::uint32_t sequence, std::uint16_t bytes,
-    std::uint32_t acknowledgement)
+FlowPacket laterPacket(
+    const FlowPacket& first, Cookie cookie, std::uint32_t sequence, std::uint16_t bytes, std::uint32_t acknowledgement)
 {
     FlowPacket packet;
     packet.flow = first.flow;
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -15,7 +15,8 @@
 Cookie makeCookie(std::uint64_t targetNumber)
 {
     constexpr std::uint64_t largest = UINT32_MAX;
-    const std::uint64_t value = targetNumber <= largest ? targetNumber : XXH3_64bits(&targetNumber, sizeof(targetNumber));
+    const std::uint64_t value
+        = targetNumber <= largest ? targetNumber : XXH3_64bits(&targetNumber, sizeof(targetNumber));
     const auto cookie = static_cast<Cookie>(value & largest);
     return cookie == 0 ? 1 : cookie;
 }
@@ -73,8 +74,7 @@
         // All hosts decide alike: a target that runs goes before one that is gone, then the one that started first.
         const bool holderRuns = holder->phase != schema::TARGET_GONE;
         const bool targetRuns = target->phase != schema::TARGET_GONE;
-        const bool targetFirst
-            = targetRuns != holderRuns ? targetRuns : target->bornMs < holder->bornMs;
+        const bool targetFirst = targetRuns != holderRuns ? targetRuns : target->bornMs < holder->bornMs;
         PooledTarget* second = targetFirst ? holder : target.get();
         holder = targetFirst ? target.get() : holder;
         second->cookieTaken = true;
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -62,8 +62,6 @@
     bool takesNewFlows() const { return phase == schema::TARGET_READY && !cookieTaken; }
 };
 
-
-
 /// All targets by id and by cookie. Pointers stay valid for the life of the pool.
 class TargetPool {
 public:
--- a/src/libbergamot/directory/member_policy.cpp
+++ b/src/libbergamot/directory/member_policy.cpp
@@ -54,8 +54,8 @@
     return found != m_seen.end() && now - found->second.last < m_options.aliveWithin;
 }
 
-void MemberPolicy::look(std::span<const schema::ControlMember> members,
-    std::span<const AnnouncedControlHost> announced, TimePoint now)
+void MemberPolicy::look(
+    std::span<const schema::ControlMember> members, std::span<const AnnouncedControlHost> announced, TimePoint now)
 {
     // A new leader has not heard of anybody yet; silence counts from its start.
     for (const schema::ControlMember& member : members)
@@ -72,11 +72,11 @@
     for (const schema::ControlMember& member : members) {
         if (member.identity() == self)
             continue;
-        const auto successor = std::find_if(
-            announced.begin(), announced.end(), [&member, now, this](const AnnouncedControlHost& host) {
-                return host.rpcEndpoint == member.rpc_endpoint() && host.identity != member.identity()
-                    && isAlive(host.identity, now);
-            });
+        const auto successor
+            = std::find_if(announced.begin(), announced.end(), [&member, now, this](const AnnouncedControlHost& host) {
+                  return host.rpcEndpoint == member.rpc_endpoint() && host.identity != member.identity()
+                      && isAlive(host.identity, now);
+              });
         if (successor != announced.end() && !isAlive(member.identity(), now))
             return removal(member, "another identity runs at its address: its disk was lost");
     }
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -43,7 +43,8 @@
         return TargetEvent::Ignored;
     const TimePoint heard = now - Duration(record.age_ms());
     const bool changesSilence = !isNew && m_options.copiesSilence && record.silent() != found->second.silent;
-    if (!isNew && !changesSilence && record.sequence() == found->second.record.sequence() && heard <= found->second.heard)
+    if (!isNew && !changesSilence && record.sequence() == found->second.record.sequence()
+        && heard <= found->second.heard)
         return TargetEvent::Ignored;
     return apply(m_targets[record.id()], record, isNew, isHeartbeat, now);
 }
@@ -61,8 +62,7 @@
         target.lastChange = ++m_lastChange;
     if (!isGone)
         releaseAddress(record);
-    const bool isSilent
-        = m_options.copiesSilence ? record.silent() : now - target.heard >= m_options.silentAfter;
+    const bool isSilent = m_options.copiesSilence ? record.silent() : now - target.heard >= m_options.silentAfter;
     const bool wasSilent = std::exchange(target.silent, isSilent);
     TargetEvent event = TargetEvent::Refreshed;
     if (isGone)
@@ -133,7 +133,8 @@
             item = m_targets.erase(item);
             continue;
         }
-        if (!m_options.copiesSilence && !target.silent && target.record.phase() != schema::TARGET_GONE && age >= m_options.silentAfter) {
+        if (!m_options.copiesSilence && !target.silent && target.record.phase() != schema::TARGET_GONE
+            && age >= m_options.silentAfter) {
             target.silent = true;
             note(target, TargetEvent::Silent);
         }
--- a/src/libbergamotio/connect_probe.cpp
+++ b/src/libbergamotio/connect_probe.cpp
@@ -37,8 +37,7 @@
     {
         const std::unique_ptr<Probe> probe(static_cast<Probe*>(argument));
         // After a pause of this process the timeout may come first although the connection is open.
-        const ProbeOutcome outcome
-            = probe->descriptor < 0 ? ProbeOutcome::NoAnswer : outcomeOf(probe->descriptor);
+        const ProbeOutcome outcome = probe->descriptor < 0 ? ProbeOutcome::NoAnswer : outcomeOf(probe->descriptor);
         if (probe->descriptor >= 0)
             ::close(probe->descriptor);
         probe->handler(outcome);
--- a/src/libbergamotio/quorum_host.cpp
+++ b/src/libbergamotio/quorum_host.cpp
@@ -257,8 +257,7 @@
     if (m_log->leader() != m_shownLeader) {
         m_shownLeader = m_log->leader();
         writeLog(LogLevel::Info, ResultCode::LeaderElected, m_shownLeader.empty() ? "no leader" : "leader",
-            { { "leader", m_shownLeader }, { "self", m_identity },
-                { "term", std::to_string(m_log->term()) } });
+            { { "leader", m_shownLeader }, { "self", m_identity }, { "term", std::to_string(m_log->term()) } });
     }
     if (std::string members = describeMembers(m_log->members()); members != m_shownMembers) {
         m_shownMembers = std::move(members);
