--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all dependencies configure test quickstart bench format format-check lint sanitize clean
+.PHONY: all dependencies configure test quickstart bench soak format format-check lint sanitize clean
 
 all: configure
 	cmake --build $(BUILD) -j $(JOBS)
@@ -22,6 +22,12 @@
 bench: dependencies all
 	packaging/bench $(BUILD)
 
+SEED ?= $(shell date +%s)
+MINUTES ?= 2
+
+soak: dependencies all
+	src/soak/soak.py $(BUILD)/bin $(BUILD)/soak --seed $(SEED) --seconds $$(( $(MINUTES) * 60 ))
+
 format:
 	packaging/source-files | xargs clang-format -i
 
--- a/src/bergamotctl/command_table.cpp
+++ b/src/bergamotctl/command_table.cpp
@@ -61,6 +61,9 @@
             runHistory, false },
         { "watch", "", "", "Print each new revision.", "since count", "watch --count 1", runWatch, false },
         { "check", "", "", "Report what is wrong with the deployment.", "", "check", runCheck, false },
+        { "explain", "", "FILE...", "Explain a flow, target or document from log files; - is standard input.",
+            "flow target document from until", "explain --flow \"10.1.0.9:4000>10.9.0.1:443\" hosts.log", runExplain,
+            false },
         { "manifest", "diff", "FILE", "Show the changes that lead to a manifest.", "", "manifest diff manifest.json",
             runManifestDiff, false },
         { "manifest", "apply", "FILE", "Bring a manifest into force as one change.", "",
@@ -127,7 +130,9 @@
 
     bool hasRightCount(const CommandInfo& command, Arguments arguments)
     {
-        return arguments.size() >= countRequired(command.arguments) && arguments.size() <= countAll(command.arguments);
+        const bool repeatsLast = command.arguments.ends_with("...");
+        return arguments.size() >= countRequired(command.arguments)
+            && (repeatsLast || arguments.size() <= countAll(command.arguments));
     }
 
 }
--- a/src/bergamotctl/commands.h
+++ b/src/bergamotctl/commands.h
@@ -24,7 +24,7 @@
     std::string_view noun;
     /// "add"; empty for a command of one word.
     std::string_view verb;
-    /// Names of the arguments; optional ones stand in brackets.
+    /// Names of the arguments; optional ones stand in brackets, and the last one may be repeated if it ends with dots.
     std::string_view arguments;
     std::string_view summary;
     /// Flags besides those of all commands, separated by blanks.
@@ -108,6 +108,7 @@
 ExitStatus runControlReplace(Session& session, Arguments arguments);
 ExitStatus runDump(Session& session, Arguments arguments);
 ExitStatus runHistory(Session& session, Arguments arguments);
+ExitStatus runExplain(Session& session, Arguments arguments);
 ExitStatus runWatch(Session& session, Arguments arguments);
 ExitStatus runCheck(Session& session, Arguments arguments);
 ExitStatus runManifestDiff(Session& session, Arguments arguments);
--- a/src/bergamotctl/flags.cpp
+++ b/src/bergamotctl/flags.cpp
@@ -30,6 +30,11 @@
 DEFINE_uint32(drain_deadline, 28800, "Seconds after which a drained backend server loses its flows.");
 DEFINE_uint32(udp_idle, 30, "Seconds after which an idle UDP flow ends.");
 DEFINE_uint32(probe_idle, 900, "Seconds of silence after which a TCP flow is probed.");
+DEFINE_string(flow, "", "Flow to explain, as client:port>service:port.");
+DEFINE_string(target, "", "Target to explain, by its id.");
+DEFINE_string(document, "", "Version of the document to explain.");
+DEFINE_string(from, "", "Earliest time of log lines, as they print it.");
+DEFINE_string(until, "", "Latest time of log lines, as they print it.");
 DEFINE_string(identity, "", "Identity of a control host; default is the one that the host reports.");
 
 namespace bergamotroute {
--- a/src/bergamotctl/flags.h
+++ b/src/bergamotctl/flags.h
@@ -37,6 +37,11 @@
 DECLARE_uint32(udp_idle);
 DECLARE_uint32(probe_idle);
 DECLARE_string(identity);
+DECLARE_string(flow);
+DECLARE_string(target);
+DECLARE_string(document);
+DECLARE_string(from);
+DECLARE_string(until);
 
 namespace bergamotroute {
 
--- a/src/bergamotctl/page_commands.cpp
+++ b/src/bergamotctl/page_commands.cpp
@@ -92,6 +92,8 @@
         << "by `bergamotctl settings-page` from `src/schema/`.\n";
     printSection(out, "bergamotd", *schema::EntryHostSettings::descriptor());
     printSection(out, "bergamot-control", *schema::ControlHostSettings::descriptor());
+    printSection(out, "bergamot-directory", *schema::DirectorySettings::descriptor());
+    printSection(out, "bergamot-entry", *schema::CookieEntrySettings::descriptor());
     printSection(out, "bergamotctl", *schema::OperatorToolSettings::descriptor());
     return ExitStatus::Done;
 }
--- /dev/null
+++ b/src/soak/fleet.py
@@ -0,0 +1,83 @@
+"""The programs of cookie steering as processes on loopback. Only processes started here are ever signalled."""
+import json
+import shutil
+import signal
+import subprocess
+from pathlib import Path
+
+ZONES = ("a", "b", "c")
+INTERNAL_PORT, OPERATOR_PORT, PACKET_PORT, READY_PORT = 17720, 18166, 18172, 18167
+
+
+class Host:
+    """One program with its settings, log and, for control hosts, disk."""
+
+    def __init__(self, program, name, zone, address, settings, folder):
+        self.program, self.name, self.zone, self.address, self.folder = program, name, zone, address, folder
+        self.settings = {"host": name, "data_centre": zone, "address": address, "internal_port": INTERNAL_PORT,
+                         "target_heartbeat_ms": 600, "log": {"file": "-"}, **settings}
+        self.log = folder / f"{name}.log"
+        self.process = None
+        self.paused = False
+
+    def start(self):
+        path = self.folder / f"{self.name}.json"
+        path.write_text(json.dumps(self.settings))
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen([self.program, "--settings", path], stdout=log, stderr=log)
+        self.paused = False
+
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        if self.is_running():
+            self.process.send_signal(number)
+            self.paused = number == signal.SIGSTOP
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        if self.process:
+            self.process.wait()
+
+    def wipe(self):
+        """Loses the disk; a control host that comes back then must not form a quorum."""
+        shutil.rmtree(self.settings["data_folder"], ignore_errors=True)
+        self.settings["bootstrap"] = False
+
+
+class Fleet:
+    """Control hosts and entry hosts of one deployment."""
+
+    def __init__(self, binaries, folder, net, control_count=3, entry_count=3):
+        self.folder = Path(folder)
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.folder.mkdir(parents=True)
+        addresses = [f"127.{net}.1.{i + 1}" for i in range(control_count)]
+        self.operators = [f"{address}:{OPERATOR_PORT}" for address in addresses]
+        seeds = self.operators[:3]
+        self.controls = [
+            Host(f"{binaries}/bergamot-directory", f"control-{i + 1}", ZONES[i % len(ZONES)], address,
+                 {"operator_listen": self.operators[i], "data_folder": str(self.folder / f"disk-{i + 1}"),
+                  "seeds": seeds, "bootstrap": True}, self.folder)
+            for i, address in enumerate(addresses)]
+        self.entries = [
+            Host(f"{binaries}/bergamot-entry", f"entry-{i + 1}", ZONES[i % len(ZONES)], f"127.{net}.2.{i + 1}",
+                 {"packet_listen": f"127.{net}.2.{i + 1}:{PACKET_PORT}",
+                  "readiness_listen": f"127.{net}.2.{i + 1}:{READY_PORT}", "seeds": seeds, "grace_seconds": 2},
+                 self.folder)
+            for i in range(entry_count)]
+
+    def hosts(self):
+        return self.controls + self.entries
+
+    def start(self):
+        for host in self.hosts():
+            host.start()
+
+    def stop(self):
+        for host in self.hosts():
+            host.kill()
+
+    def logs(self):
+        return [str(host.log) for host in self.hosts()]
