Find a partition at the first target of a data centre and share what cannot be reached

Change: a target that gives no answer to two tests puts all targets of its data centre under test; load reports tell hosts of the same data centre which targets cannot be reached, and one own test then suffices; data to such a target ends a repeatable flow at once. Ruled out: resets before a test (a busy target repeats nothing but is alive).

--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -16,6 +16,8 @@
     constexpr Duration longestAvoidance { 4800 };
     /// A target that is gone may still end its last answers; its flows are reset only after this time.
     constexpr Duration resetDelayAfterGone { 300 };
+    /// A target that has answered within this time is not suspected because of others.
+    constexpr Duration recentAnswer { 200 };
     /// Pause between tests of a target that does not answer.
     constexpr Duration probePause { 300 };
     /// Tests without an answer before a target counts as unreachable; one may be lost on the way.
@@ -52,6 +54,7 @@
     static void noteAnswer(PooledTarget& target, TimePoint now);
     static void suspect(PooledTarget& target, TimePoint now);
     bool isRepeatable(const FlowPacket& packet) const;
+    void suspectDataCentre(const PooledTarget& unreachable, TimePoint now);
 
     CookieSteeringOptions options;
     RouteTable routes;
@@ -113,6 +116,16 @@
     target.nextProbe = now;
 }
 
+void CookieSteering::Implementation::suspectDataCentre(const PooledTarget& unreachable, TimePoint now)
+{
+    if (unreachable.dataCentre == options.dataCentre)
+        return;
+    for (const auto& [id, target] : pool.all()) {
+        if (target->dataCentre == unreachable.dataCentre && now - target->lastAnswer >= recentAnswer)
+            suspect(*target, now);
+    }
+}
+
 bool CookieSteering::Implementation::isRepeatable(const FlowPacket& packet) const
 {
     const Route* route = routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
@@ -211,7 +224,10 @@
         noteAnswer(*target, now);
     else if (evidence == FlowEvidence::Repeated)
         suspect(*target, now);
-    if (target->unreachable && evidence == FlowEvidence::Repeated && isRepeatable(packet)) {
+    else if (target->unreachableReports > 0 && packet.dataBytes > 0)
+        suspect(*target, now);
+    // What is sent to an unreachable target is lost; a repeatable request is better asked again at once.
+    if (target->unreachable && packet.dataBytes > 0 && isRepeatable(packet)) {
         ++counters.targetUnreachable;
         SteeringDecision decision = refuse(packet, ResultCode::TargetUnresponsive);
         decision.target = target->id;
@@ -277,18 +293,27 @@
     if (!target.suspected)
         return false;
     ++target.failedProbes;
-    target.unreachable = outcome == ProbeOutcome::Refused || target.failedProbes >= failedProbesForUnreachable;
+    const std::uint32_t needed = target.unreachableReports > 0 ? 1 : failedProbesForUnreachable;
+    target.unreachable = outcome == ProbeOutcome::Refused || target.failedProbes >= needed;
+    // A partition usually cuts off a whole data centre.
+    if (target.unreachable && !wasUnreachable && outcome == ProbeOutcome::NoAnswer)
+        m_implementation->suspectDataCentre(target, now);
     return target.unreachable != wasUnreachable;
 }
 
 void CookieSteering::handleReport(const schema::TargetLoadReport& report, TimePoint now)
 {
-    m_implementation->pool.setReport(report.host(), report, now);
+    const bool isNear = report.data_centre() == m_implementation->options.dataCentre;
+    m_implementation->pool.setReport(report, isNear, now);
 }
 
 schema::TargetLoadReport CookieSteering::makeReport()
 {
-    return m_implementation->pool.ownReport(m_implementation->options.host, ++m_implementation->reportSequence);
+    schema::TargetLoadReport report = m_implementation->pool.ownReport();
+    report.set_host(m_implementation->options.host);
+    report.set_data_centre(m_implementation->options.dataCentre);
+    report.set_sequence(++m_implementation->reportSequence);
+    return report;
 }
 
 void CookieSteering::advance(TimePoint now)
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -229,6 +229,52 @@
     CHECK(handle(repeated).action == SteeringAction::Forward);
 }
 
+TEST_CASE_FIXTURE(Fixture, "what a host of the same data centre cannot reach is avoided, and one own test confirms it")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndAsk(first);
+    schema::TargetLoadReport report;
+    report.set_host("entry-2");
+    report.set_sequence(1);
+    report.set_data_centre("a");
+    report.add_loads()->set_cookie(cookie);
+    report.mutable_loads(0)->set_unreachable(true);
+    steering.handleReport(report, clock.now());
+    for (std::uint16_t port = 2; port < 10; ++port)
+        CHECK(handle(firstPacket(port)).cookie != cookie);
+    handle(laterPacket(first, cookie, 1101, 10, 500));
+    REQUIRE(steering.takeProbes(clock.now()).size() == 1);
+    CHECK(steering.handleProbe(idOf(cookie), ProbeOutcome::NoAnswer, clock.now()));
+    CHECK(handle(laterPacket(first, cookie, 1111, 10, 500)).action == SteeringAction::Reset);
+    // From another data centre the same report says nothing: the path is another one.
+    CookieSteering far { CookieSteeringOptions { "entry-9", "b", numberOf } };
+    teach(far);
+    far.handleReport(report, clock.now());
+    far.handlePacket(laterPacket(first, cookie, 1101, 10, 500), clock.now());
+    CHECK(far.takeProbes(clock.now()).empty());
+}
+
+TEST_CASE("a partition is found at the first target of a data centre, not at each one in turn")
+{
+    ManualClock clock;
+    CookieSteering steering { CookieSteeringOptions { "entry-1", "b", numberOf } };
+    steering.installDocument(makeDocument());
+    for (const char* id : { "i-11", "i-12", "i-13" })
+        steering.updateTarget(makeTarget(id), clock.now());
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = steering.handlePacket(first, clock.now()).cookie;
+    clock.advance(Duration(200));
+    steering.handlePacket(firstPacket(1, repeatablePort, 1), clock.now());
+    const std::string target = steering.takeProbes(clock.now()).at(0).target;
+    steering.handleProbe(target, ProbeOutcome::NoAnswer, clock.now());
+    clock.advance(Duration(300));
+    CHECK(steering.takeProbes(clock.now()).size() == 1);
+    CHECK(steering.handleProbe(target, ProbeOutcome::NoAnswer, clock.now()));
+    // The other two targets of the data centre are tested now, without a packet to them that got lost.
+    CHECK(steering.takeProbes(clock.now()).size() == 2);
+    CHECK(cookie != 0);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a refused connection proves at once that the target has ended")
 {
     const FlowPacket first = firstPacket(1);
--- a/src/libbergamot/cookie/placement.cpp
+++ b/src/libbergamot/cookie/placement.cpp
@@ -29,7 +29,7 @@
         cost += m_options.remoteCost;
     if (target.silent)
         cost += m_options.silentCost;
-    if (target.avoidUntil > now || target.unreachable)
+    if (target.avoidUntil > now || target.unreachable || target.unreachableReports > 0)
         cost += m_options.avoidCost;
     return cost;
 }
--- a/src/libbergamot/cookie/placement.h
+++ b/src/libbergamot/cookie/placement.h
@@ -16,7 +16,7 @@
     /// Expected requests under way of one idle open flow.
     double idleFlowRequests = 0.04;
     /// Extra cost of a target in another data centre: a spill threshold against traffic between data centres.
-    double remoteCost = 0.5;
+    double remoteCost = 0.6;
     /// Extra cost that spreads the entry hosts over targets of equal load, so that they do not all choose the same one.
     double spreadCost = 0.3;
     /// Factor of the load of a target that has just started and is still slow.
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -101,18 +101,20 @@
         if (!target)
             continue;
         if (sign > 0) {
+            target->unreachableReports += load.unreachable ? 1 : 0;
             target->others.openFlows += load.openFlows;
             target->others.requests += load.requests;
         } else {
+            target->unreachableReports -= load.unreachable && target->unreachableReports > 0 ? 1 : 0;
             target->others.openFlows -= std::min(target->others.openFlows, load.openFlows);
             target->others.requests -= std::min(target->others.requests, load.requests);
         }
     }
 }
 
-void TargetPool::setReport(const std::string& host, const schema::TargetLoadReport& report, TimePoint now)
+void TargetPool::setReport(const schema::TargetLoadReport& report, bool isNear, TimePoint now)
 {
-    Report& slot = m_reports[host];
+    Report& slot = m_reports[report.host()];
     if (report.sequence() <= slot.sequence && now - slot.received < reportLifetime)
         return;
     addReport(slot, -1);
@@ -120,7 +122,8 @@
     slot.sequence = report.sequence();
     slot.loads.clear();
     for (const schema::TargetLoad& load : report.loads())
-        slot.loads.emplace_back(load.cookie(), ObservedLoad { load.open_flows(), load.requests() });
+        slot.loads.emplace_back(
+            load.cookie(), ObservedLoad { load.open_flows(), load.requests(), isNear && load.unreachable() });
     addReport(slot, 1);
 }
 
@@ -136,18 +139,17 @@
     }
 }
 
-schema::TargetLoadReport TargetPool::ownReport(const std::string& host, std::uint64_t sequence) const
+schema::TargetLoadReport TargetPool::ownReport() const
 {
     schema::TargetLoadReport report;
-    report.set_host(host);
-    report.set_sequence(sequence);
     for (const auto& [id, target] : m_targets) {
-        if (target->own.openFlows == 0 && target->own.requests == 0)
+        if (target->own.openFlows == 0 && target->own.requests == 0 && !target->unreachable)
             continue;
         schema::TargetLoad& load = *report.add_loads();
         load.set_cookie(target->cookie);
         load.set_open_flows(target->own.openFlows);
         load.set_requests(target->own.requests);
+        load.set_unreachable(target->unreachable);
     }
     return report;
 }
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -24,6 +24,7 @@
     std::uint32_t openFlows = 0;
     /// Requests whose answer has not begun.
     std::uint32_t requests = 0;
+    bool unreachable = false;
 };
 
 /// One target of an entry host.
@@ -55,6 +56,8 @@
     std::uint32_t failedProbes = 0;
     /// Tests show that it cannot be reached from this host.
     bool unreachable = false;
+    /// Hosts of the own data centre whose tests show the same.
+    std::uint32_t unreachableReports = 0;
     /// No new flows before this time, because first packets got no answer.
     TimePoint avoidUntil;
     std::uint32_t avoidances = 0;
@@ -80,13 +83,14 @@
     const std::vector<PooledTarget*>& targetsOf(const std::string& service) const;
 
     /// Replaces the load that another host reported.
-    void setReport(const std::string& host, const schema::TargetLoadReport& report, TimePoint now);
+    /// @param isNear the host is in the own data centre, so that targets which it cannot reach matter here.
+    void setReport(const schema::TargetLoadReport& report, bool isNear, TimePoint now);
 
     /// Drops reports of hosts that have stopped reporting.
     void expireReports(TimePoint now);
 
     /// @return own load of all targets with any.
-    schema::TargetLoadReport ownReport(const std::string& host, std::uint64_t sequence) const;
+    schema::TargetLoadReport ownReport() const;
 
     const std::map<std::string, std::unique_ptr<PooledTarget>, std::less<>>& all() const { return m_targets; }
 
