--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -106,6 +106,10 @@
     , m_rpc(loop)
     , m_http(loop)
     , m_metricsServer(loop)
+    , m_documentTime(m_histograms, "bergamot_directory_document_seconds", "Time from a document to its acceptance.")
+    , m_readTime(m_histograms, "bergamot_directory_read_seconds", "Time from a read to the confirmation by a majority.")
+    , m_leaveTime(
+          m_histograms, "bergamot_directory_leave_seconds", "Time until the other control hosts have a drain or leave.")
     , m_timer(loop, [this] { advance(); })
     , m_storeTimer(loop, [this] { m_store.save(m_registry.changesSince(0, m_loop.now())); })
     , m_stopTimer(loop, [this] { m_loop.stop(); })
--- a/src/bergamot-directory/directory_daemon.h
+++ b/src/bergamot-directory/directory_daemon.h
@@ -12,12 +12,14 @@
 #include "bergamotroute/target_registry.h"
 #include "libbergamotio/event_loop.h"
 #include "libbergamotio/http_server.h"
+#include "libbergamotio/metrics.h"
 #include "libbergamotio/quorum_host.h"
 #include "libbergamotio/rpc_server.h"
 
 #include "settings.pb.h"
 
 #include <memory>
+#include <prometheus/registry.h>
 #include <string>
 
 namespace bergamotroute {
@@ -65,6 +67,7 @@
     void putDocument(const ExchangePointer& exchange);
     void submitDocument(const ExchangePointer& exchange, std::uint64_t version);
     void answerDocument(const ExchangePointer& exchange, std::uint64_t version, const schema::CommandResult& result);
+    void acknowledgeWhenSpread(const ExchangePointer& exchange);
     void getDocument(const ExchangePointer& exchange);
     void redirectToLeader(const ExchangePointer& exchange);
     void putTarget(const ExchangePointer& exchange);
@@ -85,6 +88,10 @@
     HttpServer m_http;
     HttpServer m_metricsServer;
     Counters m_counters;
+    prometheus::Registry m_histograms;
+    DurationHistogram m_documentTime;
+    DurationHistogram m_readTime;
+    DurationHistogram m_leaveTime;
     bool m_changePending = false;
     bool m_wasCurrent = false;
     bool m_stopping = false;
--- a/src/bergamot-directory/operator_routes.cpp
+++ b/src/bergamot-directory/operator_routes.cpp
@@ -61,8 +61,11 @@
     schema::Document& document = *command.add_changes()->mutable_put_document();
     document.set_version(version);
     document.set_content(exchange->body());
-    m_quorum.submit(command,
-        [this, exchange, version](const schema::CommandResult& result) { answerDocument(exchange, version, result); });
+    const TimePoint begin = m_loop.now();
+    m_quorum.submit(command, [this, exchange, version, begin](const schema::CommandResult& result) {
+        m_documentTime.observe(m_loop.now() - begin);
+        answerDocument(exchange, version, result);
+    });
 }
 
 void DirectoryDaemon::answerDocument(
@@ -98,7 +101,9 @@
         redirectToLeader(exchange);
         return;
     }
-    m_quorum.confirmRead([this, exchange](bool confirmed) {
+    const TimePoint begin = m_loop.now();
+    m_quorum.confirmRead([this, exchange, begin](bool confirmed) {
+        m_readTime.observe(m_loop.now() - begin);
         const schema::Document& document = m_quorum.log().configuration().document();
         if (!confirmed || document.version() == 0) {
             ++m_counters.readsRefused;
@@ -126,20 +131,26 @@
     }
     ++m_counters.heartbeats;
     const TargetEvent event = m_registry.merge(*heartbeat, true, m_loop.now());
-    const auto acknowledge
-        = [this, exchange] { exchange->reply(HttpStatus::Ok, m_protocol.heartbeatAnswer(), jsonType); };
     if (event == TargetEvent::Draining || event == TargetEvent::Gone)
-        m_exchange.whenSpread(spreadLimit, acknowledge);
+        acknowledgeWhenSpread(exchange);
     else
-        acknowledge();
+        exchange->reply(HttpStatus::Ok, m_protocol.heartbeatAnswer(), jsonType);
 }
 
 void DirectoryDaemon::deleteTarget(const ExchangePointer& exchange)
 {
     ++m_counters.leaves;
     m_registry.remove(idOf(*exchange), m_protocol.readLeave(exchange->body()), m_loop.now());
-    m_exchange.whenSpread(
-        spreadLimit, [this, exchange] { exchange->reply(HttpStatus::Ok, m_protocol.heartbeatAnswer(), jsonType); });
+    acknowledgeWhenSpread(exchange);
+}
+
+void DirectoryDaemon::acknowledgeWhenSpread(const ExchangePointer& exchange)
+{
+    const TimePoint begin = m_loop.now();
+    m_exchange.whenSpread(spreadLimit, [this, exchange, begin] {
+        m_leaveTime.observe(m_loop.now() - begin);
+        exchange->reply(HttpStatus::Ok, m_protocol.heartbeatAnswer(), jsonType);
+    });
 }
 
 std::string DirectoryDaemon::metrics() const
@@ -176,7 +187,7 @@
         static_cast<double>(logCounters().dropped));
     add("log_lines_suppressed_total", "Log lines above the limit of their code.",
         static_cast<double>(logCounters().suppressed));
-    return serializeMetrics(registry);
+    return serializeMetrics(registry) + serializeMetrics(m_histograms);
 }
 
 }
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -104,6 +104,7 @@
     , m_readiness(loop)
     , m_metricsServer(loop)
     , m_held(heldPackets, heldLifetime)
+    , m_packetTime(m_histograms, "bergamot_entry_packet_seconds", "Time from reading packets to sending them on.")
     , m_packetEndpoint(parseEndpoint(m_settings.packet_listen()))
     , m_timer(loop,
           [this] {
@@ -246,6 +247,7 @@
 
 void CookieEntryDaemon::receivePackets()
 {
+    const auto begin = std::chrono::steady_clock::now();
     for (unsigned batch = 0; batch < mostBatchesPerTurn; ++batch) {
         const std::size_t count = m_packets.receive([this](std::span<const std::byte> datagram, const Endpoint&) {
             if (handleDatagram(datagram, false))
@@ -260,6 +262,7 @@
             break;
     }
     m_packets.flush();
+    m_packetTime.observe(std::chrono::steady_clock::now() - begin);
     startProbes();
     scheduleReport();
 }
@@ -433,7 +436,6 @@
         static_cast<double>(counters.placedAgain));
     add("flows_route_unknown_total", "First packets without a route.", static_cast<double>(counters.routeUnknown));
     add("flows_no_target_total", "First packets without a target.", static_cast<double>(counters.noTarget));
-    add("flows_overload_total", "First packets refused because of load.", static_cast<double>(counters.overload));
     add("packets_target_gone_total", "Packets for targets that are gone.", static_cast<double>(counters.targetGone));
     add("packets_cookie_unknown_total", "Packets with a cookie of no known target.",
         static_cast<double>(counters.cookieUnknown));
@@ -449,7 +451,7 @@
         static_cast<double>(logCounters().dropped));
     add("log_lines_suppressed_total", "Log lines above the limit of their code.",
         static_cast<double>(logCounters().suppressed));
-    return serializeMetrics(registry);
+    return serializeMetrics(registry) + serializeMetrics(m_histograms);
 }
 
 }
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -8,11 +8,13 @@
 #include "bergamotroute/held_packets.h"
 #include "libbergamotio/event_loop.h"
 #include "libbergamotio/http_server.h"
+#include "libbergamotio/metrics.h"
 #include "libbergamotio/udp_socket.h"
 
 #include "settings.pb.h"
 
 #include <memory>
+#include <prometheus/registry.h>
 #include <string>
 #include <vector>
 
@@ -93,6 +95,8 @@
     TimePoint m_lastNearReport;
     TimePoint m_lastFarReport;
     bool m_reportArmed = false;
+    prometheus::Registry m_histograms;
+    DurationHistogram m_packetTime;
     Endpoint m_packetEndpoint;
     Traffic m_traffic;
     bool m_stopping = false;
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -85,7 +85,6 @@
     std::uint64_t forwarded = 0;
     std::uint64_t routeUnknown = 0;
     std::uint64_t noTarget = 0;
-    std::uint64_t overload = 0;
     std::uint64_t targetGone = 0;
     std::uint64_t cookieUnknown = 0;
     std::uint64_t avoidedTargets = 0;
--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -101,7 +101,7 @@
     FlowPlacedAgain = 612,
     FlowRouteUnknown = 613,
     FlowNoTarget = 614,
-    FlowOverload = 615,
+    FlowTargetUnreachable = 615,
     FlowTargetGone = 616,
     FlowCookieUnknown = 617,
     ControlHostLost = 618,
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -229,7 +229,7 @@
     // What is sent to an unreachable target is lost; a repeatable request is better asked again at once.
     if (target->unreachable && packet.dataBytes > 0 && isRepeatable(packet)) {
         ++counters.targetUnreachable;
-        SteeringDecision decision = refuse(packet, ResultCode::TargetUnresponsive);
+        SteeringDecision decision = refuse(packet, ResultCode::FlowTargetUnreachable);
         decision.target = target->id;
         decision.service = target->service;
         return decision;
--- a/src/libbergamotio/metrics.h
+++ b/src/libbergamotio/metrics.h
@@ -3,11 +3,13 @@
 /// @file
 /// Metrics in Prometheus text form, serialised on the event loop. prometheus-cpp's own exposer starts threads.
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
 
 namespace prometheus {
+class Histogram;
 class Registry;
 }
 
@@ -19,4 +21,16 @@
 /// Sets a gauge without labels, creating it if needed.
 void setGauge(prometheus::Registry& registry, const std::string& name, const std::string& help, double value);
 
+/// A histogram of durations, from 0.1 ms to 10 s.
+class DurationHistogram {
+public:
+    /// Adds the histogram to a registry, which outlives it.
+    DurationHistogram(prometheus::Registry& registry, const std::string& name, const std::string& help);
+
+    void observe(std::chrono::nanoseconds duration);
+
+private:
+    prometheus::Histogram& m_histogram;
+};
+
 }
