Forget targets that have been gone for long, and take a target without heartbeats for 2 minutes as gone

Entry hosts kept every target for the life of the process, and a crashed one whose address nobody took stayed silent for ever. Two tests that failed before: registry and steering.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -109,6 +109,7 @@
     , m_timer(loop,
           [this] {
               m_steering.advance(m_loop.now());
+              m_registry.advance(m_loop.now());
               m_timer.start(checkInterval);
           })
     , m_reportTimer(loop,
--- a/src/include/bergamotroute/target_registry.h
+++ b/src/include/bergamotroute/target_registry.h
@@ -49,7 +49,8 @@
 struct RegistryOptions {
     /// Time without a heartbeat after which a target counts as silent.
     Duration silentAfter { 4000 };
-    /// Time for which a target that is gone is remembered, so that late heartbeats do not bring it back.
+    /// Time for which a target that is gone is remembered, so that late heartbeats do not bring it back, and after
+    /// which a silent one counts as gone. Longer than any flow.
     Duration forgetAfter { 120'000 };
     /// Take silence from records rather than from ages: for copies that do not get every heartbeat.
     bool copiesSilence = false;
@@ -79,7 +80,7 @@
     /// @return Ignored if the target is not known or a later incarnation runs.
     TargetEvent remove(std::string_view id, std::uint64_t bornMs, TimePoint now);
 
-    /// Marks silent targets and forgets old ones.
+    /// Marks silent targets and forgets those that are gone for long.
     void advance(TimePoint now);
 
     const RegisteredTarget* find(std::string_view id) const;
@@ -103,6 +104,7 @@
     void releaseAddress(const schema::TargetRecord& record);
     bool isAddressTaken(const schema::TargetRecord& record) const;
     void note(RegisteredTarget& target, TargetEvent event);
+    void noteSilence(RegisteredTarget& target, Duration age, TimePoint now);
 
     RegistryOptions m_options;
     Observer m_observer;
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -112,7 +112,6 @@
     if (target.suspected || target.phase == schema::TARGET_GONE)
         return;
     target.suspected = true;
-    target.suspectedSince = now;
     target.nextProbe = now;
 }
 
@@ -323,6 +322,8 @@
     const Duration idle = configured.count() > 0 ? configured : self.options.longestFlow;
     self.flows.expire(idle, self.options.longestFlow, now);
     self.pool.expireReports(now);
+    // Records of flows are younger than this, so that none refers to a forgotten target.
+    self.pool.forgetGone(2 * self.options.longestFlow, now);
 }
 
 std::uint64_t CookieSteering::documentVersion() const { return m_implementation->routes.version(); }
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -329,3 +329,18 @@
     steering.updateTarget(later, clock.now());
     CHECK(steering.handlePacket(laterPacket(firstPacket(1), 0x14, 1, 1, 1), clock.now()).targetNumber == 0x14);
 }
+
+TEST_CASE_FIXTURE(Fixture, "memory of targets that are gone does not grow for ever")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndAsk(first);
+    steering.updateTarget(makeTarget(idOf(cookie), schema::TARGET_GONE), clock.now());
+    clock.advance(Duration(119'000));
+    steering.advance(clock.now());
+    CHECK(handle(laterPacket(first, cookie, 1101, 10, 600)).action == SteeringAction::Reset);
+    clock.advance(Duration(1000));
+    steering.advance(clock.now());
+    CHECK(handle(laterPacket(first, cookie, 1101, 10, 600)).action == SteeringAction::Hold);
+    CHECK(steering.flowCount() == 0);
+    CHECK(handle(firstPacket(2)).action == SteeringAction::Forward);
+}
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -47,7 +47,7 @@
     target.number = m_numberOf(record.id());
     target.cookie = makeCookie(target.number);
     target.slots = std::max(1U, record.slots());
-    if (record.phase() == schema::TARGET_GONE && target.phase != schema::TARGET_GONE)
+    if (record.phase() == schema::TARGET_GONE && (isNew || target.phase != schema::TARGET_GONE))
         target.goneSince = now;
     target.phase = record.phase();
     target.silent = registered.silent;
@@ -81,6 +81,19 @@
     }
 }
 
+void TargetPool::forgetGone(Duration after, TimePoint now)
+{
+    const auto isForgotten = [after, now](const PooledTarget& target) {
+        return target.phase == schema::TARGET_GONE && now - target.goneSince >= after;
+    };
+    for (auto& [service, targets] : m_byService)
+        std::erase_if(targets, [&isForgotten](const PooledTarget* target) { return isForgotten(*target); });
+    const std::size_t forgotten
+        = std::erase_if(m_targets, [&isForgotten](const auto& item) { return isForgotten(*item.second); });
+    if (forgotten > 0)
+        resolveCookies();
+}
+
 PooledTarget* TargetPool::findByCookie(Cookie cookie)
 {
     const auto found = m_byCookie.find(cookie);
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -48,9 +48,8 @@
     ObservedLoad own;
     ObservedLoad others;
     TimePoint lastAnswer;
-    /// A client repeated a packet after the last answer; time of the first such packet.
+    /// A client repeated a packet after the last answer.
     bool suspected = false;
-    TimePoint suspectedSince;
     bool probeOpen = false;
     TimePoint nextProbe;
     std::uint32_t failedProbes = 0;
@@ -65,7 +64,7 @@
     bool takesNewFlows() const { return phase == schema::TARGET_READY && !cookieTaken; }
 };
 
-/// All targets by id and by cookie. Pointers stay valid for the life of the pool.
+/// All targets by id and by cookie. Pointers stay valid until forgetGone().
 class TargetPool {
 public:
     explicit TargetPool(TargetNumber numberOf)
@@ -82,6 +81,10 @@
     /// @return targets of a service, or an empty list.
     const std::vector<PooledTarget*>& targetsOf(const std::string& service) const;
 
+    /// Forgets targets that have been gone for a time, in which all flows to them have ended. Pointers to others stay
+    /// valid.
+    void forgetGone(Duration after, TimePoint now);
+
     /// Replaces the load that another host reported.
     /// @param isNear the host is in the own data centre, so that targets which it cannot reach matter here.
     void setReport(const schema::TargetLoadReport& report, bool isNear, TimePoint now);
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -129,19 +129,31 @@
     for (auto item = m_targets.begin(); item != m_targets.end();) {
         RegisteredTarget& target = item->second;
         const Duration age = now - target.heard;
-        if (age >= m_options.forgetAfter) {
+        const bool isGone = target.record.phase() == schema::TARGET_GONE;
+        if (isGone && age >= m_options.forgetAfter) {
             item = m_targets.erase(item);
             continue;
         }
-        if (!m_options.copiesSilence && !target.silent && target.record.phase() != schema::TARGET_GONE
-            && age >= m_options.silentAfter) {
-            target.silent = true;
-            note(target, TargetEvent::Silent);
-        }
+        // A copy does not get every heartbeat, so that ages there say nothing.
+        if (!isGone && !m_options.copiesSilence)
+            noteSilence(target, age, now);
         ++item;
     }
 }
 
+void TargetRegistry::noteSilence(RegisteredTarget& target, Duration age, TimePoint now)
+{
+    if (age >= m_options.forgetAfter) {
+        // No flow is as old as that. Hosts with a copy learn from the event that they may forget the target.
+        target.record.set_phase(schema::TARGET_GONE);
+        target.heard = now;
+        note(target, TargetEvent::Gone);
+    } else if (age >= m_options.silentAfter && !target.silent) {
+        target.silent = true;
+        note(target, TargetEvent::Silent);
+    }
+}
+
 const RegisteredTarget* TargetRegistry::find(std::string_view id) const
 {
     const auto found = m_targets.find(id);
--- a/src/libbergamot/directory/target_registry_test.cpp
+++ b/src/libbergamot/directory/target_registry_test.cpp
@@ -134,3 +134,18 @@
     CHECK(copy.find("i-1")->silent);
     CHECK(copy.merge(heartbeat("i-1", 100, 6), false, clock.now()) == TargetEvent::Heard);
 }
+
+TEST_CASE_FIXTURE(Fixture, "a target that crashed is gone after a while and then forgotten, one that returns is ready")
+{
+    merge(heartbeat("i-1", 100, 1));
+    clock.advance(Duration(120'000));
+    registry.advance(clock.now());
+    CHECK(phaseOf(registry, "i-1") == schema::TARGET_GONE);
+    CHECK(merge(heartbeat("i-1", 100, 2)) == TargetEvent::Updated);
+    CHECK(phaseOf(registry, "i-1") == schema::TARGET_READY);
+    for (int i = 0; i < 2; ++i) {
+        clock.advance(Duration(120'000));
+        registry.advance(clock.now());
+    }
+    CHECK(registry.find("i-1") == nullptr);
+}
