Remove a replaced voter within 3 s when its successor runs in the same data centre

After a planned replacement the quorum had four voters, one of them gone; the next host was lost 7 s later, before the old voter was removed (10 s after its silence, counted anew by each leader), and three of four voters were needed while two ran. Ruled out: lost acknowledgements, entry hosts (all of them had the last accepted version). Change: ages of announcements count for a new leader too; a silent voter is removed after 3 s when a voter of its data centre joined later. The test failed before the change.

--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -16,7 +16,8 @@
     constexpr Duration quorumWithin { 1200 };
     /// Events that come within this time share a write of the registry.
     constexpr Duration storeDelay { 300 };
-    constexpr Duration memberWithin { 10'000 };
+    /// Hosts that have been silent for this time are no longer taken into account when members change.
+    constexpr Duration memberWithin { 60'000 };
     /// Time for which a stopping process answers calls that have already arrived.
     constexpr Duration stopGrace { 300 };
     /// Entries hold whole documents, so that snapshots are due early.
@@ -240,7 +241,8 @@
     std::vector<AnnouncedControlHost> announced;
     for (const schema::ControlHostRecord& record : m_exchange.controlHosts(memberWithin)) {
         if (!record.identity().empty())
-            announced.push_back({ record.identity(), record.host(), record.rpc_endpoint(), Duration(record.age_ms()) });
+            announced.push_back({ record.identity(), record.host(), record.rpc_endpoint(), record.data_centre(),
+                Duration(record.age_ms()) });
     }
     const auto step = m_members.advance(m_quorum.log().members(), announced, m_quorum.identity(), now);
     if (!step)
--- a/src/include/bergamotroute/member_policy.h
+++ b/src/include/bergamotroute/member_policy.h
@@ -21,6 +21,7 @@
     std::string identity;
     std::string host;
     std::string rpcEndpoint;
+    std::string dataCentre;
     /// Time since its last announcement.
     Duration age { 0 };
 };
@@ -31,6 +32,9 @@
     Duration aliveWithin { 2000 };
     /// Silence after which a voter may be removed once another host has taken its place. Longer than a usual restart.
     Duration replaceAfter { 10'000 };
+    /// The same when the other host runs in the data centre of the silent one and joined later: it is a replacement,
+    /// and another host may be lost as soon as it has caught up.
+    Duration replaceInDataCentreAfter { 3000 };
     /// Shortest time between two changes.
     Duration pause { 300 };
 };
@@ -70,8 +74,10 @@
         std::span<const schema::ControlMember> members, std::span<const AnnouncedControlHost> announced, TimePoint now);
     std::optional<MemberStep> removeReplaced(std::span<const schema::ControlMember> members,
         std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const;
-    std::optional<MemberStep> removeSurplus(
-        std::span<const schema::ControlMember> members, const std::string& self, TimePoint now) const;
+    std::optional<MemberStep> removeSurplus(std::span<const schema::ControlMember> members,
+        std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const;
+    bool hasSuccessor(std::span<const schema::ControlMember> members, std::span<const AnnouncedControlHost> announced,
+        std::size_t silent, TimePoint now) const;
     bool isAlive(const std::string& identity, TimePoint now) const;
 
     MemberPolicyOptions m_options;
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -219,11 +219,10 @@
         return decision;
     }
     const FlowEvidence evidence = flows.observe(packet, *target, now);
+    const bool isReported = target->unreachableReports > 0 && packet.dataBytes > 0;
     if (evidence == FlowEvidence::Answered)
         noteAnswer(*target, now);
-    else if (evidence == FlowEvidence::Repeated)
-        suspect(*target, now);
-    else if (target->unreachableReports > 0 && packet.dataBytes > 0)
+    else if (evidence == FlowEvidence::Repeated || isReported)
         suspect(*target, now);
     // What is sent to an unreachable target is lost; a repeatable request is better asked again at once.
     if (target->unreachable && packet.dataBytes > 0 && isRepeatable(packet)) {
--- a/src/libbergamot/directory/member_policy.cpp
+++ b/src/libbergamot/directory/member_policy.cpp
@@ -57,13 +57,13 @@
 void MemberPolicy::look(
     std::span<const schema::ControlMember> members, std::span<const AnnouncedControlHost> announced, TimePoint now)
 {
-    // A new leader has not heard of anybody yet; silence counts from its start.
-    for (const schema::ControlMember& member : members)
-        m_seen.try_emplace(member.identity(), Sighting { now, now });
     for (const AnnouncedControlHost& host : announced) {
         const auto [seen, isNew] = m_seen.try_emplace(host.identity, Sighting { now, now - host.age });
         seen->second.last = std::max(seen->second.last, now - host.age);
     }
+    // Nobody has told a new leader of these members; their silence counts from now.
+    for (const schema::ControlMember& member : members)
+        m_seen.try_emplace(member.identity(), Sighting { now, now });
 }
 
 std::optional<MemberStep> MemberPolicy::removeReplaced(std::span<const schema::ControlMember> members,
@@ -83,22 +83,42 @@
     return std::nullopt;
 }
 
-std::optional<MemberStep> MemberPolicy::removeSurplus(
-    std::span<const schema::ControlMember> members, const std::string& self, TimePoint now) const
+bool MemberPolicy::hasSuccessor(std::span<const schema::ControlMember> members,
+    std::span<const AnnouncedControlHost> announced, std::size_t silent, TimePoint now) const
 {
-    for (const schema::ControlMember& member : members) {
-        if (member.identity() == self || isAlive(member.identity(), now))
-            continue;
-        const Sighting& silent = m_seen.at(member.identity());
-        if (now - silent.last < m_options.replaceAfter)
+    const auto dataCentreOf = [announced](const std::string& identity) {
+        const auto found = std::find_if(announced.begin(), announced.end(),
+            [&identity](const AnnouncedControlHost& host) { return host.identity == identity; });
+        return found == announced.end() ? std::string() : found->dataCentre;
+    };
+    const Sighting& lost = m_seen.at(members[silent].identity());
+    const std::string dataCentre = dataCentreOf(members[silent].identity());
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const schema::ControlMember& other = members[i];
+        if (!other.voter() || i == silent || !isAlive(other.identity(), now))
             continue;
+        // Members stand in the order in which they joined.
+        const bool isNear = i > silent && !dataCentre.empty() && dataCentreOf(other.identity()) == dataCentre;
+        if (isNear && now - lost.last >= m_options.replaceInDataCentreAfter)
+            return true;
         // A host that was first seen at about the time of the loss, or later, has taken the place of the lost one.
-        const bool replaced = std::any_of(members.begin(), members.end(), [&](const schema::ControlMember& other) {
-            return other.voter() && isAlive(other.identity(), now)
-                && m_seen.at(other.identity()).first + m_options.replaceAfter > silent.last
-                && m_seen.at(other.identity()).first > m_seen.at(member.identity()).first;
-        });
-        if (!member.voter() || replaced)
+        const TimePoint first = m_seen.at(other.identity()).first;
+        if (first > lost.first && first + m_options.replaceAfter > lost.last
+            && now - lost.last >= m_options.replaceAfter)
+            return true;
+    }
+    return false;
+}
+
+std::optional<MemberStep> MemberPolicy::removeSurplus(std::span<const schema::ControlMember> members,
+    std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const
+{
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const schema::ControlMember& member = members[i];
+        if (member.identity() == self || isAlive(member.identity(), now))
+            continue;
+        const bool isLongSilent = now - m_seen.at(member.identity()).last >= m_options.replaceAfter;
+        if ((!member.voter() && isLongSilent) || hasSuccessor(members, announced, i, now))
             return removal(member, "silent, and another host has taken its place");
     }
     return std::nullopt;
@@ -124,7 +144,7 @@
         if (!member.voter() && isAlive(member.identity(), now))
             return promotion(member);
     }
-    return removeSurplus(members, self, now);
+    return removeSurplus(members, announced, self, now);
 }
 
 }
--- a/src/libbergamot/directory/member_policy_test.cpp
+++ b/src/libbergamot/directory/member_policy_test.cpp
@@ -23,7 +23,8 @@
     ManualClock clock;
     MemberPolicy policy;
     std::vector<schema::ControlMember> members { member("a", "1:1"), member("b", "2:1"), member("c", "3:1") };
-    std::vector<AnnouncedControlHost> announced { { "a", "a", "1:1" }, { "b", "b", "2:1" }, { "c", "c", "3:1" } };
+    std::vector<AnnouncedControlHost> announced { { "a", "a", "1:1", "x" }, { "b", "b", "2:1", "y" },
+        { "c", "c", "3:1", "z" } };
 
     std::optional<MemberStep> step() { return policy.advance(members, announced, "a", clock.now()); }
 
@@ -42,7 +43,7 @@
 TEST_CASE_FIXTURE(Fixture, "a host that announces itself is added without a vote and then promoted")
 {
     CHECK_FALSE(step().has_value());
-    announced.push_back({ "d", "d", "4:1" });
+    announced.push_back({ "d", "d", "4:1", "w" });
     pass(Duration(300), {});
     const auto added = step();
     REQUIRE(added.has_value());
@@ -58,7 +59,7 @@
 TEST_CASE_FIXTURE(Fixture, "an identity whose disk was lost is removed before its successor is added")
 {
     step();
-    announced[2] = { "c2", "c", "3:1" };
+    announced[2] = { "c2", "c", "3:1", "z" };
     pass(Duration(2000), {});
     const auto first = step();
     REQUIRE(first.has_value());
@@ -75,7 +76,7 @@
     step();
     pass(Duration(30'000), { "c" });
     CHECK_FALSE(step().has_value());
-    announced.push_back({ "d", "d", "4:1" });
+    announced.push_back({ "d", "d", "4:1", "w" });
     pass(Duration(300), { "c" });
     REQUIRE(step()->change.has_add_control_member());
     members.push_back(member("d", "4:1"));
@@ -84,3 +85,27 @@
     REQUIRE(removed.has_value());
     CHECK(removed->change.remove_control_member() == "c");
 }
+
+TEST_CASE_FIXTURE(Fixture, "after a planned replacement the old voter is removed before the next host may be lost")
+{
+    // The replacement has joined; the leader is new and has not seen in which order.
+    members.push_back(member("b2", "5:1"));
+    announced.push_back({ "b2", "b2", "5:1", "y" });
+    announced[1].age = Duration(2500);
+    CHECK_FALSE(step().has_value());
+    pass(Duration(1000), { "b" });
+    const auto removed = step();
+    REQUIRE(removed.has_value());
+    CHECK(removed->change.remove_control_member() == "b");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a voter that is silent for a while is kept when no host of its data centre joined later")
+{
+    members.push_back(member("d", "4:1"));
+    announced.push_back({ "d", "d", "4:1", "w" });
+    step();
+    for (int i = 0; i < 8; ++i) {
+        pass(Duration(1000), { "b" });
+        CHECK_FALSE(step().has_value());
+    }
+}
