Make one pool of RPC clients serve three callers; decide cookies once after updates

PeerLinks, ControlLink and DirectoryExchange each made clients by endpoint in their own copy of one function. The pool of targets decided which target holds each cookie anew with every update, which is quadratic when a starting entry host takes over the whole registry.

--- a/src/bergamot-directory/directory_exchange.cpp
+++ b/src/bergamot-directory/directory_exchange.cpp
@@ -34,6 +34,14 @@
         return (static_cast<std::uint64_t>(source()) << 32 | source()) | 1;
     }
 
+    RpcClientOptions makeOptions()
+    {
+        RpcClientOptions options;
+        options.backoffMax = longestBackoff;
+        options.failsFast = true;
+        return options;
+    }
+
 }
 
 DirectoryExchange::DirectoryExchange(EventLoop& loop, TargetRegistry& registry, schema::ControlHostRecord self)
@@ -42,6 +50,7 @@
     , m_self(std::move(self))
     , m_epoch(randomEpoch())
     , m_started(loop.now())
+    , m_clients(loop, makeOptions())
     , m_roundTimer(loop, [this] { round(); })
     , m_waiterTimer(loop, [this] { finishWaiters(); })
 {
@@ -60,15 +69,11 @@
     const auto known = m_peers.find(endpoint);
     if (known != m_peers.end())
         return &known->second;
-    std::error_code error;
-    const Endpoint parsed = Endpoint::parse(endpoint, error);
-    if (error)
+    RpcClient* client = m_clients.clientFor(endpoint);
+    if (!client)
         return nullptr;
     Peer& added = m_peers[endpoint];
-    RpcClientOptions options;
-    options.backoffMax = longestBackoff;
-    options.failsFast = true;
-    added.client = std::make_unique<RpcClient>(m_loop, parsed, options);
+    added.client = client;
     return &added;
 }
 
--- a/src/bergamot-directory/directory_exchange.h
+++ b/src/bergamot-directory/directory_exchange.h
@@ -6,14 +6,13 @@
 #include "bergamotroute/host_directory.h"
 #include "bergamotroute/target_registry.h"
 #include "libbergamotio/event_loop.h"
-#include "libbergamotio/rpc_client.h"
+#include "libbergamotio/rpc_client_pool.h"
 #include "libbergamotio/rpc_server.h"
 
 #include "directory.pb.h"
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -59,7 +58,7 @@
 
 private:
     struct Peer {
-        std::unique_ptr<RpcClient> client;
+        RpcClient* client = nullptr;
         bool callOpen = false;
         /// Last answer; the host counts as running for a while after it.
         TimePoint lastAnswer {};
@@ -90,6 +89,7 @@
     schema::ControlHostRecord m_self;
     std::uint64_t m_epoch;
     TimePoint m_started;
+    RpcClientPool m_clients;
     std::map<std::string, Peer> m_peers;
     HostDirectory<schema::ControlHostRecord> m_controlHosts;
     HostDirectory<schema::EntryHostRecord> m_entryHosts;
--- a/src/bergamot-entry/control_link.cpp
+++ b/src/bergamot-entry/control_link.cpp
@@ -19,12 +19,22 @@
     /// Pause between calls to a control host that does not hear from a majority.
     constexpr Duration isolatedPause { 200 };
 
+    RpcClientOptions makeOptions()
+    {
+        RpcClientOptions options;
+        options.probeTimeout = connectTimeout;
+        options.backoffMax = longestBackoff;
+        options.failsFast = true;
+        return options;
+    }
+
 }
 
 ControlLink::ControlLink(EventLoop& loop, schema::EntryHostRecord self, Handler handler)
     : m_loop(loop)
     , m_self(std::move(self))
     , m_handler(std::move(handler))
+    , m_clients(loop, makeOptions())
     , m_selector(m_self.host(), m_self.data_centre())
     , m_lastCurrent(loop.now())
     , m_callTimer(loop, [this] { call(); })
@@ -38,27 +48,10 @@
 
 void ControlLink::start() { m_callTimer.start(Duration(0)); }
 
-RpcClient* ControlLink::clientFor(const std::string& endpoint)
-{
-    std::unique_ptr<RpcClient>& client = m_clients[endpoint];
-    if (client)
-        return client.get();
-    std::error_code error;
-    const Endpoint parsed = Endpoint::parse(endpoint, error);
-    if (error)
-        return nullptr;
-    RpcClientOptions options;
-    options.probeTimeout = connectTimeout;
-    options.backoffMax = longestBackoff;
-    options.failsFast = true;
-    client = std::make_unique<RpcClient>(m_loop, parsed, options);
-    return client.get();
-}
-
 void ControlLink::call()
 {
     const std::string endpoint = m_selector.choose(m_loop.now());
-    RpcClient* client = endpoint.empty() ? nullptr : clientFor(endpoint);
+    RpcClient* client = endpoint.empty() ? nullptr : m_clients.clientFor(endpoint);
     if (!client) {
         m_callTimer.start(longestHold);
         return;
--- a/src/bergamot-entry/control_link.h
+++ b/src/bergamot-entry/control_link.h
@@ -5,13 +5,11 @@
 
 #include "bergamotroute/control_selector.h"
 #include "libbergamotio/event_loop.h"
-#include "libbergamotio/rpc_client.h"
+#include "libbergamotio/rpc_client_pool.h"
 
 #include "directory.pb.h"
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <string>
 
 namespace bergamotroute {
@@ -43,13 +41,12 @@
     void call();
     void handleResult(const std::string& endpoint, const RpcResult& result);
     void fail(const std::string& endpoint, const std::string& reason);
-    RpcClient* clientFor(const std::string& endpoint);
 
     EventLoop& m_loop;
     schema::EntryHostRecord m_self;
     Handler m_handler;
+    RpcClientPool m_clients;
     ControlSelector m_selector;
-    std::map<std::string, std::unique_ptr<RpcClient>> m_clients;
     std::uint64_t m_documentVersion = 0;
     std::uint64_t m_seenEpoch = 0;
     std::uint64_t m_seenChange = 0;
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -58,11 +58,13 @@
         former.erase(std::remove(former.begin(), former.end(), &target), former.end());
         m_byService[target.service].push_back(&target);
     }
-    resolveCookies();
+    m_cookiesStale = true;
 }
 
 void TargetPool::resolveCookies()
 {
+    if (!std::exchange(m_cookiesStale, false))
+        return;
     m_byCookie.clear();
     for (const auto& [id, target] : m_targets) {
         PooledTarget*& holder = m_byCookie[target->cookie];
@@ -90,18 +92,19 @@
         std::erase_if(targets, [&isForgotten](const PooledTarget* target) { return isForgotten(*target); });
     const std::size_t forgotten
         = std::erase_if(m_targets, [&isForgotten](const auto& item) { return isForgotten(*item.second); });
-    if (forgotten > 0)
-        resolveCookies();
+    m_cookiesStale = m_cookiesStale || forgotten > 0;
 }
 
 PooledTarget* TargetPool::findByCookie(Cookie cookie)
 {
+    resolveCookies();
     const auto found = m_byCookie.find(cookie);
     return found == m_byCookie.end() ? nullptr : found->second;
 }
 
-const std::vector<PooledTarget*>& TargetPool::targetsOf(const std::string& service) const
+const std::vector<PooledTarget*>& TargetPool::targetsOf(const std::string& service)
 {
+    resolveCookies();
     static const std::vector<PooledTarget*> none;
     const auto found = m_byService.find(service);
     return found == m_byService.end() ? none : found->second;
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -79,7 +79,7 @@
     PooledTarget* findByCookie(Cookie cookie);
 
     /// @return targets of a service, or an empty list.
-    const std::vector<PooledTarget*>& targetsOf(const std::string& service) const;
+    const std::vector<PooledTarget*>& targetsOf(const std::string& service);
 
     /// Forgets targets that have been gone for a time, in which all flows to them have ended. Pointers to others stay
     /// valid.
@@ -104,12 +104,14 @@
         std::vector<std::pair<Cookie, ObservedLoad>> loads;
     };
 
+    /// Decides which target holds each cookie, once after any number of updates.
     void resolveCookies();
     void addReport(const Report& report, int sign);
 
     TargetNumber m_numberOf;
     std::map<std::string, std::unique_ptr<PooledTarget>, std::less<>> m_targets;
     std::unordered_map<Cookie, PooledTarget*> m_byCookie;
+    bool m_cookiesStale = false;
     std::unordered_map<std::string, std::vector<PooledTarget*>> m_byService;
     std::map<std::string, Report> m_reports;
 };
--- a/src/libbergamotio/peer_links.cpp
+++ b/src/libbergamotio/peer_links.cpp
@@ -10,33 +10,31 @@
     constexpr Duration longestBackoff { 400 };
     constexpr const char* controlPath = "/rpc/control";
 
+    RpcClientOptions makeOptions()
+    {
+        RpcClientOptions options;
+        options.backoffMax = longestBackoff;
+        return options;
+    }
+
 }
 
-void PeerLinks::learn(const std::string& identity, const std::string& endpoint)
+PeerLinks::PeerLinks(EventLoop& loop, std::string ownEndpoint)
+    : m_ownEndpoint(std::move(ownEndpoint))
+    , m_clients(loop, makeOptions())
 {
-    if (!identity.empty() && !endpoint.empty())
-        m_endpointOf[identity] = endpoint;
 }
 
-RpcClient* PeerLinks::clientFor(const std::string& endpoint)
+void PeerLinks::learn(const std::string& identity, const std::string& endpoint)
 {
-    std::unique_ptr<RpcClient>& client = m_clients[endpoint];
-    if (client)
-        return client.get();
-    std::error_code error;
-    const Endpoint parsed = Endpoint::parse(endpoint, error);
-    if (error)
-        return nullptr;
-    RpcClientOptions options;
-    options.backoffMax = longestBackoff;
-    client = std::make_unique<RpcClient>(m_loop, parsed, options);
-    return client.get();
+    if (!identity.empty() && !endpoint.empty())
+        m_endpointOf[identity] = endpoint;
 }
 
 void PeerLinks::send(schema::ControlMessage message)
 {
     const auto endpoint = m_endpointOf.find(message.to());
-    RpcClient* client = endpoint == m_endpointOf.end() ? nullptr : clientFor(endpoint->second);
+    RpcClient* client = endpoint == m_endpointOf.end() ? nullptr : m_clients.clientFor(endpoint->second);
     if (!client) {
         ++m_failed;
         return;
@@ -52,7 +50,7 @@
 
 void PeerLinks::askIdentity(const std::string& endpoint, std::function<void(const schema::IdentityAnswer&)> handler)
 {
-    RpcClient* client = clientFor(endpoint);
+    RpcClient* client = m_clients.clientFor(endpoint);
     if (!client)
         return;
     schema::ControlMessage message;
@@ -65,12 +63,4 @@
         });
 }
 
-std::uint64_t PeerLinks::failedProbes() const
-{
-    std::uint64_t count = 0;
-    for (const auto& [endpoint, client] : m_clients)
-        count += client ? client->failedProbes() : 0;
-    return count;
-}
-
 }
--- a/src/libbergamotio/peer_links.h
+++ b/src/libbergamotio/peer_links.h
@@ -4,11 +4,10 @@
 /// Connections to the other control hosts.
 
 #include "control.pb.h"
-#include "libbergamotio/rpc_client.h"
+#include "libbergamotio/rpc_client_pool.h"
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 
 namespace bergamotroute {
@@ -16,11 +15,7 @@
 /// Sends messages of the quorum log. Messages may be lost; the quorum log repeats them.
 class PeerLinks {
 public:
-    PeerLinks(EventLoop& loop, std::string ownEndpoint)
-        : m_loop(loop)
-        , m_ownEndpoint(std::move(ownEndpoint))
-    {
-    }
+    PeerLinks(EventLoop& loop, std::string ownEndpoint);
 
     /// Remembers where an identity listens.
     void learn(const std::string& identity, const std::string& endpoint);
@@ -33,15 +28,12 @@
 
     std::uint64_t sentMessages() const { return m_sent; }
     std::uint64_t failedMessages() const { return m_failed; }
-    std::uint64_t failedProbes() const;
+    std::uint64_t failedProbes() const { return m_clients.failedProbes(); }
 
 private:
-    RpcClient* clientFor(const std::string& endpoint);
-
-    EventLoop& m_loop;
     std::string m_ownEndpoint;
     std::map<std::string, std::string> m_endpointOf;
-    std::map<std::string, std::unique_ptr<RpcClient>> m_clients;
+    RpcClientPool m_clients;
     std::uint64_t m_sent = 0;
     std::uint64_t m_failed = 0;
 };
