Pace load reports by the capacity of the link

Cause: entry hosts on small links collapsed after a partition and did not recover. A host sent its load to every host of its data centre each 95 to 105 ms and to all others each 350 to 375 ms; with 79 hosts on links of 3.1 Mbit/s that was about 220 KB/s of 387 KB/s in calm times. In a partition the report also named every target out of reach (1.8 KB), which is more than the link carries. Connection tests then failed for want of bandwidth, targets of the own data centre counted as unreachable, their flows were reset, and reports grew further.

The link's capacity is a setting (link_mbps).

Conclusion: the traffic between entry hosts grows with the square of their number and must be bounded by the link, not by time.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -15,19 +15,13 @@
     constexpr std::size_t datagramBytes = 2048;
     constexpr std::size_t reportBytes = 8192;
     constexpr unsigned mostBatchesPerTurn = 4;
+    constexpr double bytesPerMegabit = 1e6 / 8;
     constexpr Duration checkInterval { 1000 };
     /// Packets that wait for the registry or the document, and for how long: shorter than a client's patience.
     constexpr std::size_t heldPackets = 2048;
     constexpr Duration heldLifetime { 500 };
     /// Time for the answer to a connection test; several round trips inside a region.
     constexpr Duration probeTimeout { 300 };
-    /// Shortest time between load reports to hosts of the own data centre and of others, and the addition for each host
-    /// that gets them, so that large groups do not fill small links.
-    constexpr Duration nearReportInterval { 15 };
-    constexpr Duration farReportInterval { 100 };
-    constexpr Duration reportIntervalPerPeer { 5 };
-    /// Reports without a change, so that others know that this host still runs.
-    constexpr Duration unchangedReportInterval { 500 };
     /// Part of the grace time for which a stopping host forwards.
     constexpr double forwardingShare = 0.75;
     constexpr Duration longestForwarding { 4500 };
@@ -104,6 +98,7 @@
     , m_readiness(loop)
     , m_metricsServer(loop)
     , m_held(heldPackets, heldLifetime)
+    , m_pacer(m_settings.link_mbps() * bytesPerMegabit)
     , m_packetTime(m_histograms, "bergamot_entry_packet_seconds", "Time from reading packets to sending them on.")
     , m_packetEndpoint(parseEndpoint(m_settings.packet_listen()))
     , m_timer(loop,
@@ -369,7 +364,7 @@
 {
     if (std::exchange(m_reportArmed, true))
         return;
-    const Duration interval = nearReportInterval + reportIntervalPerPeer * static_cast<int>(m_nearPeers.size());
+    const Duration interval = m_pacer.nearInterval(m_reportedLoad.size(), m_nearPeers.size());
     m_reportTimer.startAt(std::max(m_loop.now(), m_lastNearReport + interval));
 }
 
@@ -380,25 +375,32 @@
     const std::uint64_t sequence = report.sequence();
     report.clear_sequence();
     std::string load = report.SerializeAsString();
-    if (load == m_reportedLoad && now - m_lastNearReport < unchangedReportInterval)
+    const Duration nearInterval = m_pacer.nearInterval(load.size(), m_nearPeers.size());
+    if (load == m_reportedLoad && now - m_lastNearReport < LoadReportPacer::repeatInterval(nearInterval))
         return;
+    const Duration farInterval = m_pacer.farInterval(load.size(), m_farPeers.size());
     m_reportedLoad = std::move(load);
     report.set_sequence(sequence);
-    const std::string bytes = report.SerializeAsString();
-    const auto sendTo = [this, &bytes](const std::vector<Endpoint>& peers) {
-        for (const Endpoint& peer : peers)
-            m_reports.queue(peer, {}, std::as_bytes(std::span(bytes)));
-    };
-    sendTo(m_nearPeers);
+    sendReportTo(m_nearPeers, report, nearInterval);
     m_lastNearReport = now;
-    const Duration farInterval = farReportInterval + reportIntervalPerPeer * static_cast<int>(m_farPeers.size());
     if (now - m_lastFarReport >= farInterval) {
-        sendTo(m_farPeers);
+        // What this host cannot reach says nothing about other data centres.
+        report.clear_unreachable_cookies();
+        sendReportTo(m_farPeers, report, farInterval);
         m_lastFarReport = now;
     }
     m_reports.flush();
 }
 
+void CookieEntryDaemon::sendReportTo(
+    std::span<const Endpoint> peers, schema::TargetLoadReport& report, Duration interval)
+{
+    report.set_valid_ms(static_cast<std::uint32_t>(LoadReportPacer::validity(interval).count()));
+    const std::string bytes = report.SerializeAsString();
+    for (const Endpoint& peer : peers)
+        m_reports.queue(peer, {}, std::as_bytes(std::span(bytes)));
+}
+
 void CookieEntryDaemon::stop()
 {
     if (m_stopping) {
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -6,6 +6,7 @@
 #include "bergamot-entry/control_link.h"
 #include "bergamotroute/cookie_steering.h"
 #include "bergamotroute/held_packets.h"
+#include "bergamotroute/load_report_pacer.h"
 #include "libbergamotio/event_loop.h"
 #include "libbergamotio/http_server.h"
 #include "libbergamotio/metrics.h"
@@ -71,6 +72,7 @@
     void receiveReports();
     void scheduleReport();
     void sendReport();
+    void sendReportTo(std::span<const Endpoint> peers, schema::TargetLoadReport& report, Duration interval);
     bool isReady() const;
     std::string metrics() const;
 
@@ -90,6 +92,7 @@
     std::vector<Endpoint> m_farPeers;
     std::vector<std::byte> m_scratch;
     HeldPackets m_held;
+    LoadReportPacer m_pacer;
     /// Load as last reported, without the report's number, and when.
     std::string m_reportedLoad;
     TimePoint m_lastNearReport;
--- /dev/null
+++ b/src/include/bergamotroute/load_report_pacer.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/// @file
+/// Chooses how often an entry host reports its load to others. Reports go to every host of a group, so their traffic
+/// grows with the square of the group; on a small link they must give way to the packets of clients.
+
+#include "bergamotroute/clock.h"
+
+#include <cstddef>
+
+namespace bergamotroute {
+
+/// Intervals between load reports on a link of given capacity.
+class LoadReportPacer {
+public:
+    /// @param linkBytesPerSecond capacity of the host's link; zero if it is not known.
+    explicit LoadReportPacer(double linkBytesPerSecond)
+        : m_linkBytesPerSecond(linkBytesPerSecond)
+    {
+    }
+
+    /// @param reportBytes size of one report.
+    /// @param peers hosts of the own data centre that get it.
+    /// @return shortest time between two reports.
+    Duration nearInterval(std::size_t reportBytes, std::size_t peers) const;
+
+    /// @param reportBytes size of one report.
+    /// @param peers hosts of other data centres that get it.
+    /// @return shortest time between two reports.
+    Duration farInterval(std::size_t reportBytes, std::size_t peers) const;
+
+    /// @return time after which an unchanged load is reported again, so that others know that this host still runs.
+    static Duration repeatInterval(Duration interval);
+
+    /// @return time for which receivers count a report that is sent at an interval.
+    static Duration validity(Duration interval);
+
+private:
+    Duration budgetInterval(std::size_t reportBytes, std::size_t peers) const;
+
+    double m_linkBytesPerSecond;
+};
+
+}
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -136,10 +136,11 @@
     schema::TargetLoadReport report;
     report.set_host("entry-2");
     report.set_sequence(1);
+    report.set_valid_ms(1500);
     for (const Cookie cookie : { 0x11U, 0x12U }) {
-        schema::TargetLoad& load = *report.add_loads();
-        load.set_cookie(cookie);
-        load.set_requests(6);
+        report.add_cookies(cookie);
+        report.add_open_flows(0);
+        report.add_requests(6);
     }
     steering.handleReport(report, clock.now());
     for (std::uint16_t port = 1; port <= 4; ++port)
@@ -237,8 +238,8 @@
     report.set_host("entry-2");
     report.set_sequence(1);
     report.set_data_centre("a");
-    report.add_loads()->set_cookie(cookie);
-    report.mutable_loads(0)->set_unreachable(true);
+    report.set_valid_ms(1500);
+    report.add_unreachable_cookies(cookie);
     steering.handleReport(report, clock.now());
     for (std::uint16_t port = 2; port < 10; ++port)
         CHECK(handle(firstPacket(port)).cookie != cookie);
--- /dev/null
+++ b/src/libbergamot/cookie/load_report_pacer_test.cpp
@@ -0,0 +1,52 @@
+/// @file
+/// Guards against load reports that fill small links: with 79 entry hosts on links of 3.1 Mbit/s the reports of a
+/// partition took more than the links, connection tests failed for want of bandwidth, and reports grew further.
+
+#include "bergamotroute/load_report_pacer.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+
+namespace {
+
+constexpr double smallLink = 3.1e6 / 8;
+constexpr double largeLink = 1e9 / 8;
+
+double bytesPerSecond(Duration interval, std::size_t reportBytes, std::size_t peers)
+{
+    return static_cast<double>(reportBytes * peers) / std::chrono::duration<double>(interval).count();
+}
+
+}
+
+TEST_CASE("reports of a large group take at most a twentieth of a small link, however much they hold")
+{
+    const LoadReportPacer pacer(smallLink);
+    for (const std::size_t reportBytes : { std::size_t { 150 }, std::size_t { 800 }, std::size_t { 2000 } }) {
+        CAPTURE(reportBytes);
+        const double near = bytesPerSecond(pacer.nearInterval(reportBytes, 18), reportBytes, 18);
+        const double far = bytesPerSecond(pacer.farInterval(reportBytes, 61), reportBytes, 61);
+        CHECK(near + far <= smallLink / 20);
+    }
+}
+
+TEST_CASE("a small group on a large link reports as often as its load changes")
+{
+    const LoadReportPacer pacer(largeLink);
+    CHECK(pacer.nearInterval(150, 2) <= Duration(25));
+    CHECK(pacer.farInterval(150, 7) <= Duration(150));
+}
+
+TEST_CASE("a link of unknown capacity does not lengthen the interval")
+{
+    CHECK(LoadReportPacer(0).nearInterval(2000, 2) == LoadReportPacer(largeLink).nearInterval(10, 2));
+}
+
+TEST_CASE("a report counts until the next two have been lost, also when they are rare")
+{
+    for (const Duration interval : { Duration(25), Duration(500), Duration(2000) }) {
+        CAPTURE(interval.count());
+        CHECK(LoadReportPacer::validity(interval) > 2 * LoadReportPacer::repeatInterval(interval));
+    }
+}
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    /// Reports older than this say nothing about the present load.
-    constexpr Duration reportLifetime { 1500 };
+    /// Reports older than this say nothing about the present load, whatever their sender says.
+    constexpr Duration longestValidity { 10'000 };
 
 }
 
@@ -117,36 +117,42 @@
         if (!target)
             continue;
         if (sign > 0) {
-            target->unreachableReports += load.unreachable ? 1 : 0;
             target->others.openFlows += load.openFlows;
             target->others.requests += load.requests;
         } else {
-            target->unreachableReports -= load.unreachable && target->unreachableReports > 0 ? 1 : 0;
             target->others.openFlows -= std::min(target->others.openFlows, load.openFlows);
             target->others.requests -= std::min(target->others.requests, load.requests);
         }
     }
+    for (const Cookie cookie : report.unreachable) {
+        PooledTarget* target = findByCookie(cookie);
+        if (target && (sign > 0 || target->unreachableReports > 0))
+            target->unreachableReports += sign;
+    }
 }
 
 void TargetPool::setReport(const schema::TargetLoadReport& report, bool isNear, TimePoint now)
 {
     Report& slot = m_reports[report.host()];
-    if (report.sequence() <= slot.sequence && now - slot.received < reportLifetime)
+    if (report.sequence() <= slot.sequence && now < slot.validUntil)
         return;
     addReport(slot, -1);
-    slot.received = now;
+    slot.validUntil = now + std::min(longestValidity, Duration(report.valid_ms()));
     slot.sequence = report.sequence();
     slot.loads.clear();
-    for (const schema::TargetLoad& load : report.loads())
-        slot.loads.emplace_back(
-            load.cookie(), ObservedLoad { load.open_flows(), load.requests(), isNear && load.unreachable() });
+    const int count = std::min({ report.cookies_size(), report.open_flows_size(), report.requests_size() });
+    for (int i = 0; i < count; ++i)
+        slot.loads.emplace_back(report.cookies(i), ObservedLoad { report.open_flows(i), report.requests(i) });
+    slot.unreachable.clear();
+    if (isNear)
+        slot.unreachable.assign(report.unreachable_cookies().begin(), report.unreachable_cookies().end());
     addReport(slot, 1);
 }
 
 void TargetPool::expireReports(TimePoint now)
 {
     for (auto report = m_reports.begin(); report != m_reports.end();) {
-        if (now - report->second.received < reportLifetime) {
+        if (now < report->second.validUntil) {
             ++report;
             continue;
         }
@@ -159,13 +165,13 @@
 {
     schema::TargetLoadReport report;
     for (const auto& [id, target] : m_targets) {
-        if (target->own.openFlows == 0 && target->own.requests == 0 && !target->unreachable)
+        if (target->unreachable)
+            report.add_unreachable_cookies(target->cookie);
+        if (target->own.openFlows == 0 && target->own.requests == 0)
             continue;
-        schema::TargetLoad& load = *report.add_loads();
-        load.set_cookie(target->cookie);
-        load.set_open_flows(target->own.openFlows);
-        load.set_requests(target->own.requests);
-        load.set_unreachable(target->unreachable);
+        report.add_cookies(target->cookie);
+        report.add_open_flows(target->own.openFlows);
+        report.add_requests(target->own.requests);
     }
     return report;
 }
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -24,7 +24,6 @@
     std::uint32_t openFlows = 0;
     /// Requests whose answer has not begun.
     std::uint32_t requests = 0;
-    bool unreachable = false;
 };
 
 /// One target of an entry host.
@@ -99,9 +98,10 @@
 
 private:
     struct Report {
-        TimePoint received;
+        TimePoint validUntil;
         std::uint64_t sequence = 0;
         std::vector<std::pair<Cookie, ObservedLoad>> loads;
+        std::vector<Cookie> unreachable;
     };
 
     /// Decides which target holds each cookie, once after any number of updates.
