Count unknown load of other data centres like that of the own one

Idle flows give a near target a cost of 0.5 to 0.7 requests for each slot, which is about the threshold for spilling (0.6); far targets looked empty because reports from other data centres are rare, late or not yet there after a start. In a partition these flows are lost.

Ruled out: lack of slots in the own data centre (0.4 requests for each slot).

Change: a far target has at least the mean idle load of the near targets; requests under way still move flows to other data centres. The test of bunched long flows failed before (95 of 200 flows near).

--- a/src/libbergamot/cookie/placement.h
+++ b/src/libbergamot/cookie/placement.h
@@ -45,11 +45,15 @@
     PlacementChoice choose(
         const std::vector<PooledTarget*>& targets, const PooledTarget* excluded, TimePoint now) const;
 
-    /// @return the cost of a new flow at a target.
-    double costOf(const PooledTarget& target, TimePoint now) const;
-
 private:
+    bool isNear(const PooledTarget& target) const { return target.dataCentre == m_dataCentre; }
     double spreadOf(const PooledTarget& target) const;
+    /// @return requests for each slot that are expected from idle open flows.
+    double idleLoad(const PooledTarget& target) const;
+    double meanNearIdleLoad(const std::vector<PooledTarget*>& targets) const;
+    /// @param leastFarIdleLoad idle load that a target of another data centre has at least.
+    /// @return the cost of a new flow at a target.
+    double costOf(const PooledTarget& target, double leastFarIdleLoad, TimePoint now) const;
 
     PlacementOptions m_options;
     std::string m_dataCentre;
--- /dev/null
+++ b/src/libbergamot/cookie/placement_test.cpp
@@ -0,0 +1,73 @@
+/// @file
+/// Guards against new flows that go to another data centre without need: they are lost when a partition separates the
+/// two, and their packets cost traffic between data centres.
+
+#include "cookie/placement.h"
+
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+
+namespace {
+
+constexpr std::uint32_t slots = 2;
+
+/// Targets of two data centres, half of them each, as an entry host of data centre "a" sees them.
+struct TwoDataCentres {
+    ManualClock clock;
+    Placement placement { {}, "entry-1", "a" };
+    std::vector<PooledTarget> targets { 8 };
+    std::vector<PooledTarget*> pointers;
+
+    TwoDataCentres()
+    {
+        std::uint64_t number = 0x11;
+        for (PooledTarget& target : targets) {
+            target.number = number++;
+            target.slots = slots;
+            target.dataCentre = std::string(1, number % 2 == 0 ? 'a' : 'b');
+            pointers.push_back(&target);
+        }
+    }
+
+    /// @return flows placed in the own data centre, of a number that open and stay idle.
+    int placeIdleFlows(int count)
+    {
+        int near = 0;
+        for (int i = 0; i < count; ++i) {
+            PooledTarget& target = *placement.choose(pointers, nullptr, clock.now()).target;
+            ++target.own.openFlows;
+            near += target.dataCentre == "a" ? 1 : 0;
+        }
+        return near;
+    }
+};
+
+}
+
+TEST_CASE_FIXTURE(
+    TwoDataCentres, "long flows that bunch: idle flows stay near while the other data centre reports nothing")
+{
+    // Other hosts hold 30 idle flows at each near target; of the far targets nothing is known.
+    for (PooledTarget& target : targets)
+        target.others.openFlows = target.dataCentre == "a" ? 30 : 0;
+    CHECK(placeIdleFlows(200) == 200);
+}
+
+TEST_CASE_FIXTURE(TwoDataCentres, "clients shifted to one data centre: flows spill when near targets are busy")
+{
+    for (PooledTarget& target : targets) {
+        target.others.openFlows = target.dataCentre == "a" ? 30 : 0;
+        target.others.requests = target.dataCentre == "a" ? 2 * slots : 0;
+    }
+    CHECK(placement.choose(pointers, nullptr, clock.now()).target->dataCentre == "b");
+}
+
+TEST_CASE_FIXTURE(TwoDataCentres, "idle flows are even over the targets of the data centre")
+{
+    placeIdleFlows(200);
+    for (const PooledTarget& target : targets) {
+        if (target.dataCentre == "a")
+            CHECK(target.own.openFlows <= 60);
+    }
+}
