Spread load reports to other data centres over their interval

Cause: reports to 55 to 61 far hosts left as one burst of 14 KB, which takes 36 ms on a link of 3.1 Mbit/s and more than its queue may hold; packets of clients wait behind it.

Change: ReportRotation gives each report to the hosts that are due, in turn.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -383,12 +383,9 @@
     report.set_sequence(sequence);
     sendReportTo(m_nearPeers, report, nearInterval);
     m_lastNearReport = now;
-    if (now - m_lastFarReport >= farInterval) {
-        // What this host cannot reach says nothing about other data centres.
-        report.clear_unreachable_cookies();
-        sendReportTo(m_farPeers, report, farInterval);
-        m_lastFarReport = now;
-    }
+    // What this host cannot reach says nothing about other data centres.
+    report.clear_unreachable_cookies();
+    sendReportTo(m_farRotation.takeDue(m_farPeers, farInterval, now), report, farInterval);
     m_reports.flush();
 }
 
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -96,7 +96,7 @@
     /// Load as last reported, without the report's number, and when.
     std::string m_reportedLoad;
     TimePoint m_lastNearReport;
-    TimePoint m_lastFarReport;
+    ReportRotation m_farRotation;
     bool m_reportArmed = false;
     prometheus::Registry m_histograms;
     DurationHistogram m_packetTime;
--- a/src/include/bergamotroute/load_report_pacer.h
+++ b/src/include/bergamotroute/load_report_pacer.h
@@ -5,8 +5,11 @@
 /// grows with the square of the group; on a small link they must give way to the packets of clients.
 
 #include "bergamotroute/clock.h"
+#include "bergamotroute/types.h"
 
 #include <cstddef>
+#include <span>
+#include <vector>
 
 namespace bergamotroute {
 
@@ -41,4 +44,18 @@
     double m_linkBytesPerSecond;
 };
 
+/// Spreads the reports to a group of hosts over an interval: one datagram to each of many hosts at once would fill the
+/// queue of a small link.
+class ReportRotation {
+public:
+    /// @param peers all hosts of the group.
+    /// @param interval time in which each of them is due once.
+    /// @return the hosts that are due now, each at most once.
+    std::vector<Endpoint> takeDue(std::span<const Endpoint> peers, Duration interval, TimePoint now);
+
+private:
+    std::size_t m_next = 0;
+    TimePoint m_sentUntil;
+};
+
 }
--- a/src/libbergamot/cookie/load_report_pacer.cpp
+++ b/src/libbergamot/cookie/load_report_pacer.cpp
@@ -47,4 +47,19 @@
 
 Duration LoadReportPacer::validity(Duration interval) { return repeatInterval(interval) * (toleratedLosses + 1); }
 
+std::vector<Endpoint> ReportRotation::takeDue(std::span<const Endpoint> peers, Duration interval, TimePoint now)
+{
+    std::vector<Endpoint> due;
+    if (peers.empty())
+        return due;
+    // Time that has passed while there was nothing to report is not made up for.
+    m_sentUntil = std::max(m_sentUntil, now - interval);
+    const auto count = static_cast<Duration::rep>(peers.size());
+    const Duration::rep dueCount = (now - m_sentUntil).count() * count / interval.count();
+    for (Duration::rep sent = 0; sent < dueCount; ++sent)
+        due.push_back(peers[m_next++ % peers.size()]);
+    m_sentUntil += interval * dueCount / count;
+    return due;
+}
+
 }
--- a/src/libbergamot/cookie/load_report_pacer_test.cpp
+++ b/src/libbergamot/cookie/load_report_pacer_test.cpp
@@ -4,7 +4,9 @@
 
 #include "bergamotroute/load_report_pacer.h"
 
+#include <array>
 #include <doctest/doctest.h>
+#include <map>
 
 using namespace bergamotroute;
 
@@ -50,3 +52,34 @@
         CHECK(LoadReportPacer::validity(interval) > 2 * LoadReportPacer::repeatInterval(interval));
     }
 }
+
+TEST_CASE("reports to a large group are spread over the interval, and each host gets its turn")
+{
+    ManualClock clock;
+    std::vector<Endpoint> peers;
+    for (std::uint16_t port = 1; port <= 60; ++port)
+        peers.push_back({ IpAddress::fromV4(std::array<std::uint8_t, 4> { 10, 0, 0, 1 }), port });
+    ReportRotation rotation;
+    rotation.takeDue(peers, Duration(1200), clock.now());
+    std::map<std::uint16_t, int> received;
+    for (int tick = 0; tick < 40; ++tick) {
+        clock.advance(Duration(120));
+        const std::vector<Endpoint> due = rotation.takeDue(peers, Duration(1200), clock.now());
+        CHECK(due.size() == 6);
+        for (const Endpoint& peer : due)
+            ++received[peer.port];
+    }
+    REQUIRE(received.size() == peers.size());
+    for (const auto& [port, count] : received)
+        CHECK(count == 4);
+}
+
+TEST_CASE("after a long pause each host gets one report, not one for each interval that has passed")
+{
+    ManualClock clock;
+    const std::vector<Endpoint> peers(7);
+    ReportRotation rotation;
+    clock.advance(Duration(60'000));
+    CHECK(rotation.takeDue(peers, Duration(100), clock.now()).size() == peers.size());
+    CHECK(rotation.takeDue(peers, Duration(100), clock.now()).empty());
+}
