Stop counting the load of flows that the fabric has moved to other hosts

Cause: whenever an entry host joins or leaves, the fabric hands nearly all flows to other hosts. The former host saw neither the acknowledgement nor a copy of a request under way and counted it for 4 s more, and an open flow for its idle time of 15 s. With restarts each second, targets looked several times busier than they were, and flows spilled to other data centres.

Change: a request without a copy or an acknowledgement for 1 s is served elsewhere (clients repeat after 200 and 600 ms), and so is an open flow without packets for 5 s. Flow records measure load only; packets go by their cookie. Records are checked each 250 ms. The first of the two new tests failed before.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -16,7 +16,7 @@
     constexpr std::size_t reportBytes = 8192;
     constexpr unsigned mostBatchesPerTurn = 4;
     constexpr double bytesPerMegabit = 1e6 / 8;
-    constexpr Duration checkInterval { 1000 };
+    constexpr Duration checkInterval { 250 };
     /// Packets that wait for the registry or the document, and for how long: shorter than a client's patience.
     constexpr std::size_t heldPackets = 2048;
     constexpr Duration heldLifetime { 500 };
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -123,7 +123,7 @@
     /// @return the load that this host sees.
     schema::TargetLoadReport makeReport();
 
-    /// Forgets old flows and reports; to be called about once a second.
+    /// Forgets old flows and reports; to be called a few times a second.
     void advance(TimePoint now);
 
     std::uint64_t documentVersion() const;
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -230,6 +230,40 @@
     CHECK(handle(repeated).action == SteeringAction::Forward);
 }
 
+TEST_CASE_FIXTURE(Fixture, "the fabric moves flows to other hosts: the former host stops counting their load")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndAsk(first);
+    schema::TargetLoadReport report = steering.makeReport();
+    REQUIRE(report.cookies_size() == 1);
+    CHECK(report.cookies(0) == cookie);
+    CHECK(report.requests(0) == 1);
+    // A client repeats an unanswered packet after 200 and 600 ms; silence means that another host has the flow.
+    clock.advance(Duration(1100));
+    steering.advance(clock.now());
+    report = steering.makeReport();
+    REQUIRE(report.cookies_size() == 1);
+    CHECK(report.requests(0) == 0);
+    CHECK(report.open_flows(0) == 1);
+    clock.advance(Duration(4000));
+    steering.advance(clock.now());
+    CHECK(steering.makeReport().cookies_size() == 0);
+    // The flow itself goes on, whichever host gets its packets.
+    CHECK(handle(laterPacket(first, cookie, 1101, 10, 900)).cookie == cookie);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a request that waits long at its target keeps counting while its client repeats it")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndAsk(first);
+    for (const Duration pause : { Duration(200), Duration(400), Duration(800) }) {
+        clock.advance(pause);
+        steering.advance(clock.now());
+        handle(laterPacket(first, cookie, 1001, 100, 500));
+        CHECK(steering.makeReport().requests(0) == 1);
+    }
+}
+
 TEST_CASE_FIXTURE(Fixture, "what a host of the same data centre cannot reach is avoided, and one own test confirms it")
 {
     const FlowPacket first = firstPacket(1);
--- a/src/libbergamot/cookie/flow_table.cpp
+++ b/src/libbergamot/cookie/flow_table.cpp
@@ -1,13 +1,18 @@
 #include "cookie/flow_table.h"
 
+#include <algorithm>
+
 namespace bergamotroute {
 
 namespace {
 
     /// Time for which a closed flow is kept for its last packets.
     constexpr Duration closedLifetime { 2000 };
-    /// A request without any answer for this time no longer counts as load: its client or target has given up.
-    constexpr Duration longestRequest { 4000 };
+    /// A client repeats a packet after 200 and 600 ms. One that sends neither a copy nor an acknowledgement for this
+    /// time is served through another host: the fabric moves most flows whenever a host joins or leaves.
+    constexpr Duration longestRequest { 1000 };
+    /// An open flow without packets for this time no longer counts here, for the same reason.
+    constexpr Duration longestQuiet { 5000 };
 
     /// @return true if a sequence number lies after another one (RFC 9293, section 3.4).
     bool isAfter(std::uint32_t left, std::uint32_t right) { return static_cast<std::int32_t>(left - right) > 0; }
@@ -112,7 +117,7 @@
             setPending(record, false);
         const bool ended = record.closed && quiet >= closedLifetime;
         const bool neverOpened = !record.established && quiet >= closedLifetime;
-        if (!ended && !neverOpened && quiet < idle && now - record.opened < oldest) {
+        if (!ended && !neverOpened && quiet < std::min(idle, longestQuiet) && now - record.opened < oldest) {
             ++item;
             continue;
         }
