Hold one copy of a packet, and end its wait in time

Cause, found by reading: an entry host that does not know its targets yet holds each copy of a packet, so that all of them reach the target later; the second copy of a first packet counts as a sign that the target does not answer. And each packet that was held started the 0.5 s of the timer anew, so that under steady traffic no wait ended before the registry came.

Change: a copy replaces the packet that waits; the timer runs to the end of the first packet's wait. Both tests failed before.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -250,12 +250,8 @@
     const auto begin = std::chrono::steady_clock::now();
     for (unsigned batch = 0; batch < mostBatchesPerTurn; ++batch) {
         const std::size_t count = m_packets.receive([this](std::span<const std::byte> datagram, const Endpoint&) {
-            if (handleDatagram(datagram, false))
-                return;
-            ++m_traffic.held;
-            if (!m_held.add(datagram, m_loop.now()))
-                handleDatagram(datagram, true);
-            m_heldTimer.start(m_held.lifetime());
+            if (!handleDatagram(datagram, false))
+                hold(datagram);
         });
         m_traffic.received += count;
         if (count < UdpSocket::batchSize)
@@ -283,13 +279,27 @@
     }
 }
 
+void CookieEntryDaemon::hold(std::span<const std::byte> datagram)
+{
+    const std::optional<FlowPacket> packet = m_adapter.codec.parse(datagram);
+    if (!packet)
+        return;
+    ++m_traffic.held;
+    // The acknowledgement differs between copies.
+    const std::uint64_t key = hashFlow(packet->flow, packet->sequence);
+    if (!m_held.add(datagram, key, m_loop.now()))
+        handleDatagram(datagram, true);
+    if (!m_held.isEmpty())
+        m_heldTimer.startAt(m_held.nextDue());
+}
+
 void CookieEntryDaemon::decideHeldPackets()
 {
     m_held.decide(m_loop.now(),
         [this](std::span<const std::byte> datagram, bool isLastTry) { return handleDatagram(datagram, isLastTry); });
     m_packets.flush();
     if (!m_held.isEmpty())
-        m_heldTimer.start(m_held.lifetime());
+        m_heldTimer.startAt(m_held.nextDue());
 }
 
 bool CookieEntryDaemon::handleDatagram(std::span<const std::byte> datagram, bool isLastTry)
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -63,6 +63,7 @@
     void receivePackets();
     /// @return false if the packet must be decided on again.
     bool handleDatagram(std::span<const std::byte> datagram, bool isLastTry);
+    void hold(std::span<const std::byte> datagram);
     void decideHeldPackets();
     void startProbes();
     void forward(const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision);
--- a/src/include/bergamotroute/held_packets.h
+++ b/src/include/bergamotroute/held_packets.h
@@ -7,6 +7,7 @@
 #include "bergamotroute/clock.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <span>
@@ -14,7 +15,8 @@
 
 namespace bergamotroute {
 
-/// Bounded queue of packets in order of arrival.
+/// Bounded queue of packets in order of arrival. Copies of a packet take one place, and what has waited is released
+/// over several turns: all at once it would fill the queues of the targets.
 class HeldPackets {
 public:
     /// Decides on a packet.
@@ -26,20 +28,24 @@
     /// @param lifetime longest wait of a packet.
     HeldPackets(std::size_t capacity, Duration lifetime);
 
-    /// Copies a packet.
+    /// Copies a packet. A copy of one that waits replaces it and keeps its place.
+    /// @param key the same for all copies of a packet.
     /// @return false if the queue is full.
-    bool add(std::span<const std::byte> packet, TimePoint now);
+    bool add(std::span<const std::byte> packet, std::uint64_t key, TimePoint now);
 
     /// Decides on all packets again.
     void decide(TimePoint now, const Decision& decision);
 
+    /// @return the end of the first packet's wait. Must not be called while no packet waits.
+    TimePoint nextDue() const;
+
     bool isEmpty() const { return m_packets.empty(); }
     std::size_t size() const { return m_packets.size(); }
-    Duration lifetime() const { return m_lifetime; }
 
 private:
     struct Held {
         std::vector<std::byte> bytes;
+        std::uint64_t key = 0;
         TimePoint arrived;
     };
 
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -337,9 +337,9 @@
     const FlowPacket later = laterPacket(firstPacket(1), 0x11, 1001, 10, 1);
     CHECK(fresh.handlePacket(later, clock.now()).action == SteeringAction::Hold);
     const std::array<std::byte, 4> bytes {};
-    CHECK(held.add(bytes, clock.now()));
-    CHECK(held.add(bytes, clock.now()));
-    CHECK_FALSE(held.add(bytes, clock.now()));
+    CHECK(held.add(bytes, 1, clock.now()));
+    CHECK(held.add(bytes, 2, clock.now()));
+    CHECK_FALSE(held.add(bytes, 3, clock.now()));
     teach(fresh);
     int forwarded = 0;
     held.decide(clock.now(), [&](std::span<const std::byte>, bool) {
--- a/src/libbergamot/cookie/held_packets.cpp
+++ b/src/libbergamot/cookie/held_packets.cpp
@@ -1,5 +1,7 @@
 #include "bergamotroute/held_packets.h"
 
+#include <algorithm>
+
 namespace bergamotroute {
 
 HeldPackets::HeldPackets(std::size_t capacity, Duration lifetime)
@@ -8,11 +10,17 @@
 {
 }
 
-bool HeldPackets::add(std::span<const std::byte> packet, TimePoint now)
+bool HeldPackets::add(std::span<const std::byte> packet, std::uint64_t key, TimePoint now)
 {
+    const auto copy
+        = std::find_if(m_packets.begin(), m_packets.end(), [key](const Held& held) { return held.key == key; });
+    if (copy != m_packets.end()) {
+        copy->bytes.assign(packet.begin(), packet.end());
+        return true;
+    }
     if (m_packets.size() >= m_capacity)
         return false;
-    m_packets.push_back({ { packet.begin(), packet.end() }, now });
+    m_packets.push_back({ { packet.begin(), packet.end() }, key, now });
     return true;
 }
 
@@ -27,4 +35,6 @@
     }
 }
 
+TimePoint HeldPackets::nextDue() const { return m_packets.front().arrived + m_lifetime; }
+
 }
--- /dev/null
+++ b/src/libbergamot/cookie/held_packets_test.cpp
@@ -0,0 +1,50 @@
+/// @file
+/// Guards against a burst of waiting packets after a start: all at once, with every copy of them, they fill the queues
+/// of the targets, which then refuse requests that they could have served 0.2 s later.
+
+#include "bergamotroute/held_packets.h"
+
+#include <array>
+#include <doctest/doctest.h>
+
+using namespace bergamotroute;
+
+namespace {
+
+struct Fixture {
+    ManualClock clock;
+    HeldPackets held { 1000, Duration(500) };
+
+    void hold(std::uint64_t key, std::byte content = std::byte { 0 })
+    {
+        const std::array<std::byte, 1> bytes { content };
+        REQUIRE(held.add(bytes, key, clock.now()));
+    }
+};
+
+}
+
+TEST_CASE_FIXTURE(Fixture, "copies of a packet take one place, and the last copy is sent")
+{
+    hold(7, std::byte { 1 });
+    clock.advance(Duration(200));
+    hold(7, std::byte { 2 });
+    CHECK(held.size() == 1);
+    std::byte sent {};
+    held.decide(clock.now(), [&sent](std::span<const std::byte> packet, bool) {
+        sent = packet[0];
+        return true;
+    });
+    CHECK(sent == std::byte { 2 });
+}
+
+TEST_CASE_FIXTURE(Fixture, "packets that keep arriving do not postpone the end of the first one's wait")
+{
+    hold(1);
+    const TimePoint due = clock.now() + Duration(500);
+    for (std::uint64_t key = 2; key < 6; ++key) {
+        clock.advance(Duration(100));
+        hold(key);
+        CHECK(held.nextDue() == due);
+    }
+}
