Split the entry daemon: load reports and the metrics page

LoadReporter owns the socket, the peers and the pace of load reports; entry_metrics.cpp holds the metrics page.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -14,9 +14,7 @@
 
     /// Largest datagram: a packet of 1,500 bytes and its prefix, with room to spare.
     constexpr std::size_t datagramBytes = 2048;
-    constexpr std::size_t reportBytes = 8192;
     constexpr unsigned mostBatchesPerTurn = 4;
-    constexpr double bytesPerMegabit = 1e6 / 8;
     constexpr Duration checkInterval { 250 };
     /// Packets that wait for the registry or the document, and for how long: shorter than a client's patience.
     constexpr std::size_t heldPackets = 2048;
@@ -95,11 +93,10 @@
     , m_registry(makeRegistryOptions(m_settings))
     , m_link(loop, makeRecord(m_settings), [this](const schema::EntrySyncAnswer& answer) { handleAnswer(answer); })
     , m_packets(datagramBytes)
-    , m_reports(reportBytes)
     , m_readiness(loop)
     , m_metricsServer(loop)
     , m_held(heldPackets, heldLifetime)
-    , m_pacer(m_settings.link_mbps() * bytesPerMegabit)
+    , m_reporter(loop, m_steering, m_settings.link_mbps())
     , m_packetTime(m_histograms, "bergamot_entry_packet_seconds", "Time from reading packets to sending them on.")
     , m_packetEndpoint(parseEndpoint(m_settings.packet_listen()))
     , m_timer(loop,
@@ -108,11 +105,6 @@
               m_registry.advance(m_loop.now());
               m_timer.start(checkInterval);
           })
-    , m_reportTimer(loop,
-          [this] {
-              m_reportArmed = false;
-              sendReport();
-          })
     , m_heldTimer(loop, [this] { decideHeldPackets(); })
     , m_probeTimer(loop, [this] { startProbes(); })
     , m_stopTimer(loop, [this] { m_loop.stop(); })
@@ -144,11 +136,10 @@
     error = m_packets.open(m_packetEndpoint);
     if (!check(m_settings.packet_listen()))
         return error;
-    error = m_reports.open(parseEndpoint(peerText));
+    error = m_reporter.open(parseEndpoint(peerText));
     if (!check(peerText))
         return error;
     m_packetWatch = std::make_unique<ReadWatch>(m_loop, m_packets.descriptor(), [this] { receivePackets(); });
-    m_reportWatch = std::make_unique<ReadWatch>(m_loop, m_reports.descriptor(), [this] { receiveReports(); });
     m_readiness.route(
         "GET", m_adapter.readinessPath, HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
             exchange->reply(isReady() ? HttpStatus::Ok : HttpStatus::ServiceUnavailable, "{}", "application/json");
@@ -185,13 +176,14 @@
     for (const schema::TargetRecord& record : answer.targets())
         m_registry.merge(record, false, m_loop.now());
     if (answer.entry_hosts_size() > 0) {
-        m_nearPeers.clear();
-        m_farPeers.clear();
+        std::vector<Endpoint> near;
+        std::vector<Endpoint> far;
         for (const schema::EntryHostRecord& host : answer.entry_hosts()) {
             const bool isNear = host.data_centre() == m_settings.data_centre();
             if (host.host() != m_settings.host())
-                (isNear ? m_nearPeers : m_farPeers).push_back(parseEndpoint(host.peer_endpoint()));
+                (isNear ? near : far).push_back(parseEndpoint(host.peer_endpoint()));
         }
+        m_reporter.setPeers(std::move(near), std::move(far));
     }
     if (!m_held.isEmpty())
         decideHeldPackets();
@@ -260,7 +252,7 @@
     m_packets.flush();
     m_packetTime.observe(std::chrono::steady_clock::now() - begin);
     startProbes();
-    scheduleReport();
+    m_reporter.schedule();
 }
 
 void CookieEntryDaemon::startProbes()
@@ -365,53 +357,6 @@
             { "view_age_ms", std::to_string(m_link.sinceCurrent().count()) } });
 }
 
-void CookieEntryDaemon::receiveReports()
-{
-    m_reports.receive([this](std::span<const std::byte> datagram, const Endpoint&) {
-        schema::TargetLoadReport report;
-        if (report.ParseFromArray(datagram.data(), static_cast<int>(datagram.size())))
-            m_steering.handleReport(report, m_loop.now());
-    });
-}
-
-void CookieEntryDaemon::scheduleReport()
-{
-    if (std::exchange(m_reportArmed, true))
-        return;
-    const Duration interval = m_pacer.nearInterval(m_reportedLoad.size(), m_nearPeers.size());
-    m_reportTimer.startAt(std::max(m_loop.now(), m_lastNearReport + interval));
-}
-
-void CookieEntryDaemon::sendReport()
-{
-    const TimePoint now = m_loop.now();
-    schema::TargetLoadReport report = m_steering.makeReport();
-    const std::uint64_t sequence = report.sequence();
-    report.clear_sequence();
-    std::string load = report.SerializeAsString();
-    const Duration nearInterval = m_pacer.nearInterval(load.size(), m_nearPeers.size());
-    if (load == m_reportedLoad && now - m_lastNearReport < LoadReportPacer::repeatInterval(nearInterval))
-        return;
-    const Duration farInterval = m_pacer.farInterval(load.size(), m_farPeers.size());
-    m_reportedLoad = std::move(load);
-    report.set_sequence(sequence);
-    sendReportTo(m_nearPeers, report, nearInterval);
-    m_lastNearReport = now;
-    // What this host cannot reach says nothing about other data centres.
-    report.clear_unreachable_cookies();
-    sendReportTo(m_farRotation.takeDue(m_farPeers, farInterval, now), report, farInterval);
-    m_reports.flush();
-}
-
-void CookieEntryDaemon::sendReportTo(
-    std::span<const Endpoint> peers, schema::TargetLoadReport& report, Duration interval)
-{
-    report.set_valid_ms(static_cast<std::uint32_t>(LoadReportPacer::validity(interval).count()));
-    const std::string bytes = report.SerializeAsString();
-    for (const Endpoint& peer : peers)
-        m_reports.queue(peer, {}, std::as_bytes(std::span(bytes)));
-}
-
 void CookieEntryDaemon::stop()
 {
     if (m_stopping) {
@@ -425,47 +370,4 @@
     m_stopTimer.start(forwarding);
 }
 
-std::string CookieEntryDaemon::metrics() const
-{
-    prometheus::Registry registry;
-    const auto add = [&registry](const std::string& name, const std::string& help, double value) {
-        setGauge(registry, "bergamot_entry_" + name, help, value);
-    };
-    const SteeringCounters& counters = m_steering.counters();
-    add("packets_received_total", "Packets from clients.", static_cast<double>(m_traffic.received));
-    add("packets_unreadable_total", "Datagrams that are no packets.", static_cast<double>(m_traffic.unreadable));
-    add("packets_forwarded_total", "Packets sent to targets.", static_cast<double>(m_traffic.forwarded));
-    add("packets_dropped_total", "Packets dropped.", static_cast<double>(m_traffic.dropped));
-    add("packets_held_total", "Packets that waited for a target or a document.", static_cast<double>(m_traffic.held));
-    add("targets_probed_total", "Connection tests of targets that did not answer.",
-        static_cast<double>(counters.probes));
-    add("flows_target_unreachable_total", "Packets refused because their target cannot be reached.",
-        static_cast<double>(counters.targetUnreachable));
-    add("send_errors_total", "Datagrams that the system did not take.",
-        static_cast<double>(m_packets.sendErrors() + m_reports.sendErrors()));
-    add("resets_total", "Flows refused or ended by this host.", static_cast<double>(m_traffic.resets));
-    add("first_packets_total", "First packets of flows, copies included.", static_cast<double>(counters.firstPackets));
-    add("flows_placed_total", "Flows given a target.", static_cast<double>(counters.placed));
-    add("flows_placed_again_total", "Flows given another target after a repeated first packet.",
-        static_cast<double>(counters.placedAgain));
-    add("flows_route_unknown_total", "First packets without a route.", static_cast<double>(counters.routeUnknown));
-    add("flows_no_target_total", "First packets without a target.", static_cast<double>(counters.noTarget));
-    add("packets_target_gone_total", "Packets for targets that are gone.", static_cast<double>(counters.targetGone));
-    add("packets_cookie_unknown_total", "Packets with a cookie of no known target.",
-        static_cast<double>(counters.cookieUnknown));
-    add("targets_avoided_total", "Times a target was avoided because first packets got no answer.",
-        static_cast<double>(counters.avoidedTargets));
-    add("flows", "Flows remembered.", static_cast<double>(m_steering.flowCount()));
-    add("document_version", "Version in force on this host.", static_cast<double>(m_steering.documentVersion()));
-    add("view_age_seconds", "Time since the last answer of a control host that hears from a majority.",
-        std::chrono::duration<double>(m_link.sinceCurrent()).count());
-    add("control_calls_failed_total", "Calls to control hosts that failed.", static_cast<double>(m_link.failedCalls()));
-    add("ready", "One if the readiness page answers 200.", isReady() ? 1 : 0);
-    add("log_lines_dropped_total", "Log lines dropped because the reader was too slow.",
-        static_cast<double>(logCounters().dropped));
-    add("log_lines_suppressed_total", "Log lines above the limit of their code.",
-        static_cast<double>(logCounters().suppressed));
-    return serializeMetrics(registry) + serializeMetrics(m_histograms);
-}
-
 }
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -4,9 +4,9 @@
 /// The entry host of cookie steering: the shell around CookieSteering.
 
 #include "bergamot-entry/control_link.h"
+#include "bergamot-entry/load_reporter.h"
 #include "bergamotroute/cookie_steering.h"
 #include "bergamotroute/held_packets.h"
-#include "bergamotroute/load_report_pacer.h"
 #include "libbergamotio/event_loop.h"
 #include "libbergamotio/http_server.h"
 #include "libbergamotio/metrics.h"
@@ -69,10 +69,6 @@
     void forward(const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision);
     void reset(const FlowPacket& packet, const SteeringDecision& decision);
     void logDecision(const FlowPacket& packet, const SteeringDecision& decision) const;
-    void receiveReports();
-    void scheduleReport();
-    void sendReport();
-    void sendReportTo(std::span<const Endpoint> peers, schema::TargetLoadReport& report, Duration interval);
     bool isReady() const;
     std::string metrics() const;
 
@@ -83,21 +79,12 @@
     TargetRegistry m_registry;
     ControlLink m_link;
     UdpSocket m_packets;
-    UdpSocket m_reports;
     std::unique_ptr<ReadWatch> m_packetWatch;
-    std::unique_ptr<ReadWatch> m_reportWatch;
     HttpServer m_readiness;
     HttpServer m_metricsServer;
-    std::vector<Endpoint> m_nearPeers;
-    std::vector<Endpoint> m_farPeers;
     std::vector<std::byte> m_scratch;
     HeldPackets m_held;
-    LoadReportPacer m_pacer;
-    /// Load as last reported, without the report's number, and when.
-    std::string m_reportedLoad;
-    TimePoint m_lastNearReport;
-    ReportRotation m_farRotation;
-    bool m_reportArmed = false;
+    LoadReporter m_reporter;
     prometheus::Registry m_histograms;
     DurationHistogram m_packetTime;
     Endpoint m_packetEndpoint;
@@ -105,7 +92,6 @@
     bool m_stopping = false;
     bool m_wasReady = false;
     Timer m_timer;
-    Timer m_reportTimer;
     Timer m_heldTimer;
     Timer m_probeTimer;
     Timer m_stopTimer;
