Do not take a connection test as failed when this host was too slow for it

Change: a test whose timer comes more than 100 ms late is inconclusive and is repeated; so is one without a socket. The test of a slow entry host fails without the new outcome, since each late test would count as a failure.

--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -48,6 +48,8 @@
     /// The machine answers and nothing listens: the target has ended.
     Refused,
     NoAnswer,
+    /// This host was too slow to tell.
+    Inconclusive,
 };
 
 /// A target that should be tested.
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -282,6 +282,8 @@
     target.probeOpen = false;
     target.nextProbe = now + probePause;
     const bool wasUnreachable = target.unreachable;
+    if (outcome == ProbeOutcome::Inconclusive)
+        return false;
     if (outcome == ProbeOutcome::Connected) {
         target.suspected = false;
         target.failedProbes = 0;
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -289,6 +289,20 @@
     CHECK(far.takeProbes(clock.now()).empty());
 }
 
+TEST_CASE_FIXTURE(Fixture, "a slow entry host: tests that this host was too slow for end no flow")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndAsk(first);
+    const FlowPacket repeated = laterPacket(first, cookie, 1001, 100, 500);
+    for (int test = 0; test < 5; ++test) {
+        handle(repeated);
+        REQUIRE(steering.takeProbes(clock.now()).size() == 1);
+        CHECK_FALSE(steering.handleProbe(idOf(cookie), ProbeOutcome::Inconclusive, clock.now()));
+        clock.advance(Duration(300));
+    }
+    CHECK(handle(repeated).action == SteeringAction::Forward);
+}
+
 TEST_CASE("a partition is found at the first target of a data centre, not at each one in turn")
 {
     ManualClock clock;
--- a/src/libbergamotio/connect_probe.cpp
+++ b/src/libbergamotio/connect_probe.cpp
@@ -13,8 +13,14 @@
 
 namespace {
 
+    /// A timer that comes later than this shows that the process did not run when it should.
+    constexpr Duration longestLateness { 100 };
+
     /// One test; deletes itself when it ends.
     struct Probe {
+        EventLoop& loop;
+        TimePoint begin;
+        Duration timeout;
         int descriptor = -1;
         std::unique_ptr<event, EventDeleter> item;
         std::function<void(ProbeOutcome)> handler;
@@ -37,7 +43,9 @@
     {
         const std::unique_ptr<Probe> probe(static_cast<Probe*>(argument));
         // After a pause of this process the timeout may come first although the connection is open.
-        const ProbeOutcome outcome = probe->descriptor < 0 ? ProbeOutcome::NoAnswer : outcomeOf(probe->descriptor);
+        ProbeOutcome outcome = probe->descriptor < 0 ? ProbeOutcome::Inconclusive : outcomeOf(probe->descriptor);
+        if (outcome == ProbeOutcome::NoAnswer)
+            outcome = judgeSilence(probe->timeout, probe->loop.now() - probe->begin);
         if (probe->descriptor >= 0)
             ::close(probe->descriptor);
         probe->handler(outcome);
@@ -45,12 +53,16 @@
 
 }
 
+ProbeOutcome judgeSilence(Duration timeout, Duration elapsed)
+{
+    return elapsed > timeout + longestLateness ? ProbeOutcome::Inconclusive : ProbeOutcome::NoAnswer;
+}
+
 void probeListener(
     EventLoop& loop, const Endpoint& endpoint, Duration timeout, std::function<void(ProbeOutcome)> handler)
 {
     const SocketAddress address = toSocketAddress(endpoint);
-    auto probe = std::make_unique<Probe>();
-    probe->handler = std::move(handler);
+    std::unique_ptr<Probe> probe(new Probe { loop, loop.now(), timeout, -1, {}, std::move(handler) });
     probe->descriptor = ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const bool started = probe->descriptor >= 0
         && (::connect(probe->descriptor, address.get(), address.length) == 0 || errno == EINPROGRESS);
--- a/src/libbergamotio/connect_probe.h
+++ b/src/libbergamotio/connect_probe.h
@@ -10,6 +10,13 @@
 
 namespace bergamotroute {
 
+/// Judges a test without an answer.
+/// @param timeout time that the target had.
+/// @param elapsed time after which this process came back to the test.
+/// @return Inconclusive if the process was paused or overloaded, since the answer may then have been lost or overlooked
+/// here.
+ProbeOutcome judgeSilence(Duration timeout, Duration elapsed);
+
 /// Opens and closes a connection.
 /// @param handler called exactly once, later on the loop.
 void probeListener(
--- a/src/libbergamotio/connect_probe_test.cpp
+++ b/src/libbergamotio/connect_probe_test.cpp
@@ -39,3 +39,10 @@
     }
     CHECK(probe(loop, endpoint) == ProbeOutcome::Refused);
 }
+
+TEST_CASE("silence counts only if this process came back to the test in time")
+{
+    CHECK(judgeSilence(Duration(300), Duration(301)) == ProbeOutcome::NoAnswer);
+    CHECK(judgeSilence(Duration(300), Duration(350)) == ProbeOutcome::NoAnswer);
+    CHECK(judgeSilence(Duration(300), Duration(900)) == ProbeOutcome::Inconclusive);
+}
