--- a/src/include/bergamotroute/held_packets.h
+++ b/src/include/bergamotroute/held_packets.h
@@ -15,8 +15,7 @@
 
 namespace bergamotroute {
 
-/// Bounded queue of packets in order of arrival. Copies of a packet take one place, and what has waited is released
-/// over several turns: all at once it would fill the queues of the targets.
+/// Bounded queue of packets in order of arrival. Copies of a packet take one place.
 class HeldPackets {
 public:
     /// Decides on a packet.
