--- a/src/include/bergamotroute/target_registry.h
+++ b/src/include/bergamotroute/target_registry.h
@@ -105,6 +105,8 @@
     void releaseAddress(const schema::TargetRecord& record);
     bool isAddressTaken(const schema::TargetRecord& record) const;
     void setEndpoint(const std::string& id, const std::string& former, const std::string& endpoint);
+    std::vector<schema::TargetRecord> recordsAfter(
+        std::uint64_t number, std::uint64_t RegisteredTarget::*last, TimePoint now) const;
     void note(RegisteredTarget& target, TargetEvent event);
     void noteSilence(RegisteredTarget& target, Duration age, TimePoint now);
 
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -181,24 +181,25 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-std::vector<schema::TargetRecord> TargetRegistry::changesSince(std::uint64_t change, TimePoint now) const
+std::vector<schema::TargetRecord> TargetRegistry::recordsAfter(
+    std::uint64_t number, std::uint64_t RegisteredTarget::*last, TimePoint now) const
 {
     std::vector<schema::TargetRecord> records;
     for (const auto& [id, target] : m_targets) {
-        if (target.lastChange > change)
+        if (target.*last > number)
             records.push_back(exportRecord(target, now));
     }
     return records;
 }
 
+std::vector<schema::TargetRecord> TargetRegistry::changesSince(std::uint64_t change, TimePoint now) const
+{
+    return recordsAfter(change, &RegisteredTarget::lastChange, now);
+}
+
 std::vector<schema::TargetRecord> TargetRegistry::eventsSince(std::uint64_t event, TimePoint now) const
 {
-    std::vector<schema::TargetRecord> records;
-    for (const auto& [id, target] : m_targets) {
-        if (target.lastEvent > event)
-            records.push_back(exportRecord(target, now));
-    }
-    return records;
+    return recordsAfter(event, &RegisteredTarget::lastEvent, now);
 }
 
 }
