Tell data from an acknowledgement when copies of a held packet are joined

Cause, found by reading the change again: the key of a held packet was its flow and sequence number, which a data packet and the plain acknowledgement before it share. An acknowledgement that the network delivers late would have taken the place of the data, which the client then repeats after 200 ms. copyKey() now counts length and flags, and has a test.

Unit tests pass.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -277,9 +277,7 @@
     if (!packet)
         return;
     ++m_traffic.held;
-    // The acknowledgement differs between copies.
-    const std::uint64_t key = hashFlow(packet->flow, packet->sequence);
-    if (!m_held.add(datagram, key, m_loop.now()))
+    if (!m_held.add(datagram, copyKey(*packet), m_loop.now()))
         handleDatagram(datagram, true);
     if (!m_held.isEmpty())
         m_heldTimer.startAt(m_held.nextDue());
--- a/src/include/bergamotroute/held_packets.h
+++ b/src/include/bergamotroute/held_packets.h
@@ -5,6 +5,7 @@
 /// Dropping them costs clients a retransmission timeout each.
 
 #include "bergamotroute/clock.h"
+#include "bergamotroute/flow_packet.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,6 +16,10 @@
 
 namespace bergamotroute {
 
+/// @return a number that copies of a packet share, although their acknowledgements differ, and that tells data from a
+/// plain acknowledgement at the same sequence number.
+std::uint64_t copyKey(const FlowPacket& packet);
+
 /// Bounded queue of packets in order of arrival. Copies of a packet take one place.
 class HeldPackets {
 public:
@@ -28,7 +33,7 @@
     HeldPackets(std::size_t capacity, Duration lifetime);
 
     /// Copies a packet. A copy of one that waits replaces it and keeps its place.
-    /// @param key the same for all copies of a packet.
+    /// @param key copyKey() of the packet.
     /// @return false if the queue is full.
     bool add(std::span<const std::byte> packet, std::uint64_t key, TimePoint now);
 
--- a/src/libbergamot/cookie/held_packets.cpp
+++ b/src/libbergamot/cookie/held_packets.cpp
@@ -4,6 +4,15 @@
 
 namespace bergamotroute {
 
+std::uint64_t copyKey(const FlowPacket& packet)
+{
+    constexpr unsigned sequenceShift = 32;
+    constexpr unsigned lengthShift = 2;
+    const std::uint64_t flags = (packet.syn ? 1U : 0U) | (packet.fin ? 2U : 0U);
+    const std::uint64_t length = std::uint64_t { packet.dataBytes } << lengthShift;
+    return hashFlow(packet.flow, (std::uint64_t { packet.sequence } << sequenceShift) | length | flags);
+}
+
 HeldPackets::HeldPackets(std::size_t capacity, Duration lifetime)
     : m_capacity(capacity)
     , m_lifetime(lifetime)
--- a/src/libbergamot/cookie/held_packets_test.cpp
+++ b/src/libbergamot/cookie/held_packets_test.cpp
@@ -48,3 +48,28 @@
         CHECK(held.nextDue() == due);
     }
 }
+
+TEST_CASE("copies share a key, and an acknowledgement that was overtaken never takes the place of data")
+{
+    FlowPacket first;
+    first.flow = { 0x64400001, 0xc6120001, 1, 443 };
+    first.syn = true;
+    first.sequence = 1000;
+    FlowPacket copy = first;
+    copy.acknowledgement = 1;
+    CHECK(copyKey(copy) == copyKey(first));
+    FlowPacket acknowledgement;
+    acknowledgement.flow = first.flow;
+    acknowledgement.ack = true;
+    acknowledgement.sequence = 1001;
+    FlowPacket data = acknowledgement;
+    data.dataBytes = 100;
+    FlowPacket last = acknowledgement;
+    last.fin = true;
+    CHECK(copyKey(data) != copyKey(acknowledgement));
+    CHECK(copyKey(last) != copyKey(acknowledgement));
+    data.acknowledgement = 500;
+    FlowPacket repeated = data;
+    repeated.acknowledgement = 900;
+    CHECK(copyKey(repeated) == copyKey(data));
+}
