Race connections to control hosts

Cause: an entry host tried one control host after the other and waited 150 ms for a connection to each that had no power, and 40 ms before the next. Change: ConnectionRace (RFC 8305) starts the next attempt after 30 ms; the first open connection is used. Opening a connection has its own timeout (100 ms), so that the timeout of pings is 1 s again and a full link does not close connections. Ruled out: start of the process (0.12 s of the 0.18 s before main are the same for an empty program), the disk of control hosts (started 0.05 s after their process).

--- a/src/bergamot-entry/control_client.cpp
+++ b/src/bergamot-entry/control_client.cpp
@@ -13,17 +13,19 @@
     constexpr Duration longPollTimeout { 800 };
     constexpr Duration callTimeout { 1250 };
     /// Timeout for opening a connection; needed because a host without power does not even refuse it.
-    constexpr Duration connectTimeout { 150 };
+    constexpr Duration connectTimeout { 100 };
     constexpr Duration maxBackoff { 100 };
+    /// Time after which a connection to the next control host is attempted: several round trips within a region.
+    constexpr Duration attemptDelay { 30 };
     /// Delay after a failed call; prevents a busy loop when no control host is reachable.
-    constexpr Duration retryDelay { 40 };
+    constexpr Duration retryDelay { 20 };
     /// Delay between calls to a control host that is isolated, i.e. not in contact with a majority.
     constexpr Duration isolatedRetryDelay { 200 };
 
     RpcClientOptions makeOptions()
     {
         RpcClientOptions options;
-        options.probeTimeout = connectTimeout;
+        options.connectTimeout = connectTimeout;
         options.backoffMax = maxBackoff;
         options.failsFast = true;
         return options;
@@ -37,8 +39,10 @@
     , m_handler(std::move(handler))
     , m_clients(loop, makeOptions())
     , m_selector(m_self.host(), m_self.data_centre())
+    , m_race(attemptDelay)
     , m_lastQuorumResponse(loop.now())
     , m_callTimer(loop, [this] { call(); })
+    , m_raceTimer(loop, [this] { continueRace(); })
 {
 }
 
@@ -51,12 +55,60 @@
 
 void ControlClient::call()
 {
-    const std::string endpoint = m_selector.choose(m_loop.now());
+    const std::string endpoint = m_selector.usable();
     RpcClient* client = endpoint.empty() ? nullptr : m_clients.clientFor(endpoint);
-    if (!client) {
+    if (client && client->isConnected())
+        send(endpoint);
+    else
+        startRace();
+}
+
+void ControlClient::startRace()
+{
+    m_race.start(m_selector.ranked(m_loop.now()), m_loop.now());
+    if (m_race.isRunning())
+        continueRace();
+    else
         m_callTimer.start(longPollTimeout);
+}
+
+void ControlClient::continueRace()
+{
+    for (const std::string& endpoint : m_race.takeDueAttempts(m_loop.now())) {
+        RpcClient* client = m_clients.clientFor(endpoint);
+        if (client)
+            client->open([this, endpoint](bool isOpen) { handleAttempt(endpoint, isOpen); });
+        else
+            handleAttempt(endpoint, false);
+    }
+    m_raceTimer.startAt(m_race.nextAttempt());
+}
+
+void ControlClient::handleAttempt(const std::string& endpoint, bool isOpen)
+{
+    if (isOpen) {
+        const auto losers = m_race.recordConnected(endpoint);
+        if (!losers)
+            return;
+        for (const std::string& loser : *losers)
+            m_clients.clientFor(loser)->cancelOpen();
+        m_raceTimer.stop();
+        m_selector.select(endpoint);
+        send(endpoint);
+        return;
+    }
+    m_race.recordFailure(endpoint, m_loop.now());
+    if (m_race.isRunning()) {
+        m_selector.recordFailure(endpoint, m_loop.now());
+        // Not at once: the failed attempt may still be on the stack.
+        m_raceTimer.startAt(m_race.nextAttempt());
         return;
     }
+    handleFailure(endpoint, "no control host accepts a connection");
+}
+
+void ControlClient::send(const std::string& endpoint)
+{
     schema::EntrySyncRequest request;
     *request.mutable_sender() = m_self;
     request.set_document_version(m_documentVersion);
@@ -64,7 +116,7 @@
     request.set_seen_change(m_seenChange);
     request.set_seen_entry_hosts(m_seenEntryHosts);
     request.set_wait_ms(static_cast<std::uint32_t>(longPollTimeout.count()));
-    client->call(syncPath, request.SerializeAsString(), callTimeout,
+    m_clients.clientFor(endpoint)->call(syncPath, request.SerializeAsString(), callTimeout,
         [this, endpoint](const RpcResult& result) { handleResult(endpoint, result); });
 }
 
--- a/src/bergamot-entry/control_client.h
+++ b/src/bergamot-entry/control_client.h
@@ -1,8 +1,10 @@
 #pragma once
 
 /// @file
-/// Keeps an entry host up to date by long polling one control host at a time; fails over to another one on error.
+/// Keeps an entry host up to date by long polling one control host at a time. After an error it races connections to
+/// all known control hosts and continues with the first that opens.
 
+#include "bergamotroute/connection_race.h"
 #include "bergamotroute/control_selector.h"
 #include "libbergamotio/event_loop.h"
 #include "libbergamotio/rpc_client_pool.h"
@@ -37,7 +39,12 @@
     std::uint64_t failedCalls() const { return m_failedCalls; }
 
 private:
+    /// Calls the current control host, or races for another one.
     void call();
+    void startRace();
+    void continueRace();
+    void handleAttempt(const std::string& endpoint, bool isOpen);
+    void send(const std::string& endpoint);
     void handleResult(const std::string& endpoint, const RpcResult& result);
     void handleFailure(const std::string& endpoint, const std::string& reason);
 
@@ -46,6 +53,7 @@
     Handler m_handler;
     RpcClientPool m_clients;
     ControlSelector m_selector;
+    ConnectionRace m_race;
     std::uint64_t m_documentVersion = 0;
     std::uint64_t m_seenEpoch = 0;
     std::uint64_t m_seenChange = 0;
@@ -55,6 +63,7 @@
     bool m_isConnected = false;
     std::uint64_t m_failedCalls = 0;
     Timer m_callTimer;
+    Timer m_raceTimer;
 };
 
 }
--- a/src/include/bergamotroute/control_selector.h
+++ b/src/include/bergamotroute/control_selector.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace bergamotroute {
 
@@ -26,11 +27,14 @@
     /// @param isolated the control host is not in contact with a majority.
     void recordResponse(const std::string& endpoint, bool isolated, TimePoint now);
 
-    /// @return the endpoint to call; empty if none is known. Keeps the current one unless its last call failed or it is
-    /// isolated.
-    std::string choose(TimePoint now);
+    /// Makes an endpoint the current one.
+    void select(const std::string& endpoint) { m_current = endpoint; }
 
-    const std::string& current() const { return m_current; }
+    /// @return the current endpoint; empty if none is selected, its last call failed or it is isolated.
+    std::string usable() const;
+
+    /// @return all known endpoints, the best one first.
+    std::vector<std::string> ranked(TimePoint now) const;
 
 private:
     struct Candidate {
--- a/src/libbergamot/directory/control_selector.cpp
+++ b/src/libbergamot/directory/control_selector.cpp
@@ -58,22 +58,24 @@
     return cost + failureCost * candidate.failures + (candidate.isolated ? isolatedCost : 0);
 }
 
-std::string ControlSelector::choose(TimePoint now)
+std::string ControlSelector::usable() const
 {
-    const auto currentCandidate = m_candidates.find(m_current);
-    if (currentCandidate != m_candidates.end() && currentCandidate->second.failures == 0
-        && !currentCandidate->second.isolated)
-        return m_current;
-    double lowest = 0;
-    m_current.clear();
-    for (const auto& [endpoint, candidate] : m_candidates) {
-        const double cost = costOf(endpoint, candidate, now);
-        if (!m_current.empty() && cost >= lowest)
-            continue;
-        m_current = endpoint;
-        lowest = cost;
-    }
-    return m_current;
+    const auto candidate = m_candidates.find(m_current);
+    const bool isUsable
+        = candidate != m_candidates.end() && candidate->second.failures == 0 && !candidate->second.isolated;
+    return isUsable ? m_current : std::string();
+}
+
+std::vector<std::string> ControlSelector::ranked(TimePoint now) const
+{
+    std::vector<std::pair<double, std::string>> byCost;
+    for (const auto& [endpoint, candidate] : m_candidates)
+        byCost.emplace_back(costOf(endpoint, candidate, now), endpoint);
+    std::sort(byCost.begin(), byCost.end());
+    std::vector<std::string> endpoints;
+    for (auto& [cost, endpoint] : byCost)
+        endpoints.push_back(std::move(endpoint));
+    return endpoints;
 }
 
 }
--- a/src/libbergamotio/rpc_client.cpp
+++ b/src/libbergamotio/rpc_client.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <event2/bufferevent.h>
+#include <utility>
 
 namespace bergamotroute {
 
@@ -40,6 +41,35 @@
     scheduleDeadline();
 }
 
+void RpcClient::open(std::function<void(bool isOpen)> handler)
+{
+    m_openHandler = std::move(handler);
+    if (m_state == State::Connected) {
+        reportOpen(true);
+        return;
+    }
+    if (m_state == State::Connecting)
+        return;
+    m_reconnectTimer.stop();
+    connect();
+}
+
+void RpcClient::cancelOpen()
+{
+    m_openHandler = {};
+    if (m_state != State::Connecting || !m_calls.empty())
+        return;
+    m_transport.reset();
+    m_probeTimer.stop();
+    m_state = State::Idle;
+}
+
+void RpcClient::reportOpen(bool isOpen)
+{
+    if (const auto handler = std::exchange(m_openHandler, {}))
+        handler(isOpen);
+}
+
 void RpcClient::connect()
 {
     m_state = State::Connecting;
@@ -48,7 +78,7 @@
     const SocketAddress address = toSocketAddress(m_endpoint);
     // A connection that opens neither nor fails is closed by the probe timer.
     m_probeOpen = true;
-    m_probeTimer.start(m_options.probeTimeout);
+    m_probeTimer.start(m_options.connectTimeout);
     if (bufferevent_socket_connect(stream, const_cast<sockaddr*>(address.get()), static_cast<int>(address.length)) != 0)
         closeConnection();
 }
@@ -67,6 +97,7 @@
     m_probeOpen = false;
     m_probeTimer.start(m_options.probeInterval);
     sendWaiting();
+    reportOpen(true);
 }
 
 void RpcClient::sendWaiting()
@@ -213,6 +244,7 @@
     m_streams.clear();
     for (const std::uint64_t id : lost)
         finish(id, ResultCode::ConnectionLost);
+    reportOpen(false);
 }
 
 }
--- a/src/libbergamotio/rpc_client.h
+++ b/src/libbergamotio/rpc_client.h
@@ -29,8 +29,10 @@
 struct RpcClientOptions {
     /// Time between probes of an open connection.
     Duration probeInterval { 2000 };
-    /// Time for the answer to a probe, and for opening a connection.
+    /// Time for the answer to a probe.
     Duration probeTimeout { 1000 };
+    /// Time for opening a connection.
+    Duration connectTimeout { 1000 };
     /// First and longest pause after a failed connection; the pause doubles in between.
     Duration backoffMin { 50 };
     Duration backoffMax { 2000 };
@@ -55,6 +57,14 @@
     /// @param callback called exactly once, unless the client is destroyed before.
     void call(std::string path, std::string body, Duration deadline, Callback callback);
 
+    /// Opens a connection without a call, also during the pause after a failed one.
+    /// @param handler called once with true when the connection is open, or with false when the attempt has failed.
+    /// Replaces the handler of an earlier attempt.
+    void open(std::function<void(bool isOpen)> handler);
+
+    /// Gives up an attempt of open(), unless calls wait for the connection; its handler is not called.
+    void cancelOpen();
+
     /// @return true while a connection is open.
     bool isConnected() const { return m_state == State::Connected; }
 
@@ -89,6 +99,7 @@
 
     void connect();
     void endBackoff();
+    void reportOpen(bool isOpen);
     void sendCall(std::uint64_t id);
     void sendWaiting();
     void finish(std::uint64_t id, std::error_code error);
@@ -107,6 +118,7 @@
     std::map<std::int32_t, std::uint64_t> m_streams;
     std::uint64_t m_nextId = 1;
     Duration m_backoff;
+    std::function<void(bool)> m_openHandler;
     bool m_probeOpen = false;
     TimePoint m_lastReceived;
     std::uint64_t m_failedProbes = 0;
--- a/src/libbergamotio/rpc_test.cpp
+++ b/src/libbergamotio/rpc_test.cpp
@@ -92,3 +92,36 @@
     CHECK(client.failedProbes() == 1);
     CHECK(results[1].body == "second");
 }
+
+// Guards against a race for a control host that never learns how an attempt ended, or that keeps a lost attempt open.
+TEST_CASE("a connection is opened without a call, and each attempt reports its end once")
+{
+    EventLoop loop;
+    RpcServer server(loop);
+    server.handle("/echo", [](const std::string& body, const RpcReply& reply) { reply.send(200, body); });
+    REQUIRE_FALSE(server.listen(loopback(0)));
+    RpcClient open(loop, loopback(server.port()));
+    RpcClient refused(loop, loopback(1));
+    RpcClient cancelled(loop, loopback(server.port()));
+    std::vector<bool> ends;
+    bool isCancelledReported = false;
+    std::string answer;
+    cancelled.open([&](bool) { isCancelledReported = true; });
+    cancelled.cancelOpen();
+    refused.open([&](bool isOpen) {
+        ends.push_back(isOpen);
+        open.open([&](bool isOtherOpen) {
+            ends.push_back(isOtherOpen);
+            open.call("/echo", "text", Duration(5000), [&](const RpcResult& result) {
+                answer = result.body;
+                loop.stop();
+            });
+        });
+    });
+    loop.run();
+    CHECK(ends == std::vector<bool> { false, true });
+    CHECK(answer == "text");
+    CHECK(open.isConnected());
+    CHECK_FALSE(isCancelledReported);
+    CHECK_FALSE(cancelled.isConnected());
+}
