Detect a dead target within 0.4 s and reset its waiting requests at once

Cause: a target that leaves packets unanswered was probed twice with 300 ms each and a pause of 300 ms, and a waiting request was reset only when its client sent the next packet. Change: TargetReachability is the failure detector of one target. Two probes of 100 ms decide if a reference target of the same data centre answers during the second one; otherwise two probes of 300 ms, as before. At the verdict all idempotent requests that wait at the target are reset.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -20,8 +20,8 @@
     /// time, which is shorter than the time after which clients give up.
     constexpr std::size_t maxHeldPackets = 2048;
     constexpr Duration heldLifetime { 500 };
-    /// Timeout of a connection probe; several round trips within a region.
-    constexpr Duration probeTimeout { 300 };
+    /// Interval at which suspected targets are checked for a due probe while no packets arrive.
+    constexpr Duration probeCheckInterval { 100 };
     /// Fraction of the grace period during which a stopping host keeps forwarding.
     constexpr double forwardingFraction = 0.75;
     constexpr Duration maxForwardingTime { 4500 };
@@ -261,21 +261,30 @@
 void CookieEntryDaemon::startProbes()
 {
     for (const ProbeRequest& request : m_steering.takeProbes(m_loop.now())) {
-        probeListener(m_loop, request.endpoint, probeTimeout, [this, request](ProbeOutcome outcome) {
-            const bool changed = m_steering.handleProbeOutcome(request.target, outcome, m_loop.now());
-            if (changed)
-                writeLog(LogLevel::Warning,
-                    outcome == ProbeOutcome::Connected ? ResultCode::TargetResponsive : ResultCode::TargetUnresponsive,
-                    outcome == ProbeOutcome::Refused
-                        ? "connection refused: nothing listens at the endpoint of the target"
-                        : "connection probe changed the target state",
-                    { { "target", request.target }, { "endpoint", request.endpoint.toString() } });
-            if (outcome != ProbeOutcome::Connected)
-                m_probeTimer.start(probeTimeout);
-        });
+        probeTarget(m_loop, request, [this, request](ProbeOutcome outcome) { handleProbeOutcome(request, outcome); });
     }
 }
 
+void CookieEntryDaemon::handleProbeOutcome(const ProbeRequest& request, ProbeOutcome outcome)
+{
+    const bool changed = m_steering.handleProbeOutcome(request.target, outcome, m_loop.now());
+    if (changed) {
+        writeLog(LogLevel::Warning,
+            outcome == ProbeOutcome::Connected ? ResultCode::TargetResponsive : ResultCode::TargetUnresponsive,
+            outcome == ProbeOutcome::Refused ? "connection refused: nothing listens at the endpoint of the target"
+                                             : "connection probe changed the target state",
+            { { "target", request.target }, { "endpoint", request.endpoint.toString() } });
+        for (const FlowReset& flowReset : m_steering.takeResets(request.target)) {
+            reset(flowReset.packet, flowReset.decision);
+            logDecision(flowReset.packet, flowReset.decision);
+        }
+        m_packetSocket.flush();
+    }
+    startProbes();
+    if (outcome != ProbeOutcome::Connected)
+        m_probeTimer.start(probeCheckInterval);
+}
+
 void CookieEntryDaemon::hold(std::span<const std::byte> datagram)
 {
     const std::optional<FlowPacket> packet = m_adapter.codec.parse(datagram);
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -66,6 +66,7 @@
     void hold(std::span<const std::byte> datagram);
     void retryHeldPackets();
     void startProbes();
+    void handleProbeOutcome(const ProbeRequest& request, ProbeOutcome outcome);
     void forward(const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision);
     void reset(const FlowPacket& packet, const SteeringDecision& decision);
     void logDecision(const FlowPacket& packet, const SteeringDecision& decision) const;
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,10 @@
 struct ProbeRequest {
     std::string target;
     Endpoint endpoint;
+    Duration timeout { 0 };
+    /// Another target of the same data centre. If present, an unanswered probe counts only if this one answers a probe
+    /// within the same time; otherwise the outcome is inconclusive.
+    std::optional<Endpoint> reference;
 };
 
 struct SteeringDecision {
@@ -78,6 +83,12 @@
     std::uint32_t retransmission = 0;
 };
 
+/// A flow that is reset without a packet of its client.
+struct FlowReset {
+    FlowPacket packet;
+    SteeringDecision decision;
+};
+
 /// Counters since the start of the process.
 struct SteeringCounters {
     std::uint64_t firstPackets = 0;
@@ -117,6 +128,10 @@
     /// @return true if the outcome changes whether the target counts as reachable.
     bool handleProbeOutcome(const std::string& target, ProbeOutcome outcome, TimePoint now);
 
+    /// @return resets for the idempotent requests that wait at an unreachable target, so that clients retry them now;
+    /// none if the target is reachable. Views in the result are valid until the next call.
+    std::vector<FlowReset> takeResets(const std::string& target);
+
     /// Applies a load report of another entry host.
     void handleReport(const schema::TargetLoadReport& report, TimePoint now);
 
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -19,10 +19,6 @@
     constexpr Duration resetDelayAfterGone { 300 };
     /// A target that has responded within this time is not suspected because another target is unreachable.
     constexpr Duration recentResponse { 200 };
-    /// Time between a probe's outcome and the next probe of the target.
-    constexpr Duration probeInterval { 300 };
-    /// Failed probes before a target counts as unreachable; a single probe may be lost in the network.
-    constexpr std::uint32_t unreachableThreshold = 2;
     /// Further retransmissions of a first packet go to another target in any case.
     constexpr std::uint32_t maxRetransmissionsToSameTarget = 1;
 
@@ -51,10 +47,12 @@
         const FlowPacket& packet, const std::string& service, const PooledTarget* excluded, TimePoint now);
     static SteeringDecision forwardTo(const PooledTarget& target, ResultCode code);
     static SteeringDecision refuse(const FlowPacket& packet, ResultCode code);
+    SteeringDecision refuseUnreachable(const FlowPacket& packet, const PooledTarget& target);
     void avoid(PooledTarget& target, TimePoint now);
     static void markResponsive(PooledTarget& target, TimePoint now);
-    static void suspect(PooledTarget& target, TimePoint now);
-    bool isIdempotent(const FlowPacket& packet) const;
+    void suspect(PooledTarget& target, TimePoint now);
+    const PooledTarget* findReference(const PooledTarget& suspected) const;
+    bool isIdempotent(const FlowId& flow) const;
     void suspectDataCentre(const PooledTarget& unreachable, TimePoint now);
 
     CookieSteeringOptions options;
@@ -63,6 +61,8 @@
     FlowTable flows;
     Placement placement;
     SteeringCounters counters;
+    /// Targets to probe; those that are no longer suspected are removed by takeProbes().
+    std::vector<PooledTarget*> suspects;
     std::uint64_t reportSequence = 0;
 };
 
@@ -88,6 +88,15 @@
     return decision;
 }
 
+SteeringDecision CookieSteering::Implementation::refuseUnreachable(const FlowPacket& packet, const PooledTarget& target)
+{
+    ++counters.targetUnreachable;
+    SteeringDecision decision = refuse(packet, ResultCode::FlowTargetUnreachable);
+    decision.target = target.id;
+    decision.service = target.service;
+    return decision;
+}
+
 void CookieSteering::Implementation::avoid(PooledTarget& target, TimePoint now)
 {
     if (target.avoidUntil > now)
@@ -100,20 +109,17 @@
 
 void CookieSteering::Implementation::markResponsive(PooledTarget& target, TimePoint now)
 {
-    target.lastResponse = now;
     target.avoidUntil = {};
     target.avoidCount = 0;
-    target.suspected = false;
-    target.unreachable = false;
-    target.failedProbes = 0;
+    target.reachability.recordResponse(now);
 }
 
 void CookieSteering::Implementation::suspect(PooledTarget& target, TimePoint now)
 {
-    if (target.suspected || target.phase == schema::TARGET_GONE)
+    if (target.reachability.isSuspected() || target.phase == schema::TARGET_GONE)
         return;
-    target.suspected = true;
-    target.nextProbe = now;
+    target.reachability.suspect(now);
+    suspects.push_back(&target);
 }
 
 void CookieSteering::Implementation::suspectDataCentre(const PooledTarget& unreachable, TimePoint now)
@@ -121,14 +127,26 @@
     if (unreachable.dataCentre == options.dataCentre)
         return;
     for (const auto& [id, target] : pool.all()) {
-        if (target->dataCentre == unreachable.dataCentre && now - target->lastResponse >= recentResponse)
+        if (target->dataCentre == unreachable.dataCentre && now - target->reachability.lastResponse() >= recentResponse)
             suspect(*target, now);
     }
 }
 
-bool CookieSteering::Implementation::isIdempotent(const FlowPacket& packet) const
+const PooledTarget* CookieSteering::Implementation::findReference(const PooledTarget& suspected) const
 {
-    const Route* route = routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
+    const PooledTarget* reference = nullptr;
+    for (const auto& [id, target] : pool.all()) {
+        const bool isCandidate = target->dataCentre == suspected.dataCentre && target->phase == schema::TARGET_READY
+            && !target->reachability.isSuspected();
+        if (isCandidate && (!reference || target->reachability.lastResponse() > reference->reachability.lastResponse()))
+            reference = target.get();
+    }
+    return reference;
+}
+
+bool CookieSteering::Implementation::isIdempotent(const FlowId& flow) const
+{
+    const Route* route = routes.find(flow.serviceAddress, flow.servicePort);
     return route && route->kind != RequestKind::NonIdempotent;
 }
 
@@ -173,7 +191,7 @@
     // The acknowledgement field of a first packet counts its retransmissions.
     if (existing && !existing->established && !existing->closed && packet.acknowledgement > 0) {
         PooledTarget& previous = *existing->target;
-        const bool isUnresponsive = previous.lastResponse < existing->lastPlaced;
+        const bool isUnresponsive = previous.reachability.lastResponse() < existing->lastPlaced;
         if (isUnresponsive) {
             avoid(previous, now);
             suspect(previous, now);
@@ -220,19 +238,14 @@
         return decision;
     }
     const FlowObservation observation = flows.observe(packet, *target, now);
-    const bool isReported = target->unreachableReports > 0 && packet.payloadBytes > 0;
+    const bool isReported = target->reachability.isReported() && packet.payloadBytes > 0;
     if (observation == FlowObservation::Responded)
         markResponsive(*target, now);
     else if (observation == FlowObservation::Retransmitted || isReported)
         suspect(*target, now);
     // Data sent to an unreachable target is lost. A reset lets the client retry an idempotent request at once.
-    if (target->unreachable && packet.payloadBytes > 0 && isIdempotent(packet)) {
-        ++counters.targetUnreachable;
-        SteeringDecision decision = refuse(packet, ResultCode::FlowTargetUnreachable);
-        decision.target = target->id;
-        decision.service = target->service;
-        return decision;
-    }
+    if (target->reachability.isUnreachable() && packet.payloadBytes > 0 && isIdempotent(packet.flow))
+        return refuseUnreachable(packet, *target);
     ++counters.forwarded;
     SteeringDecision decision = forwardTo(*target, ResultCode::Ok);
     decision.cookie = packet.cookie;
@@ -264,14 +277,21 @@
 
 std::vector<ProbeRequest> CookieSteering::takeProbes(TimePoint now)
 {
+    Implementation& self = *m_implementation;
+    std::erase_if(self.suspects, [](const PooledTarget* target) {
+        return !target->reachability.isSuspected() || target->phase == schema::TARGET_GONE;
+    });
     std::vector<ProbeRequest> requests;
-    for (const auto& [id, target] : m_implementation->pool.all()) {
-        if (!target->suspected || target->probePending || now < target->nextProbe
-            || target->phase == schema::TARGET_GONE)
+    for (PooledTarget* target : self.suspects) {
+        if (!target->reachability.isProbeDue(now))
             continue;
-        target->probePending = true;
-        requests.push_back({ id, target->endpoint });
-        ++m_implementation->counters.probes;
+        const PooledTarget* reference = self.findReference(*target);
+        const ProbePlan plan = target->reachability.takeProbe(reference != nullptr);
+        ProbeRequest request { target->id, target->endpoint, plan.timeout, std::nullopt };
+        if (plan.needsReference)
+            request.reference = reference->endpoint;
+        requests.push_back(std::move(request));
+        ++self.counters.probes;
     }
     return requests;
 }
@@ -282,26 +302,27 @@
     if (found == m_implementation->pool.all().end())
         return false;
     PooledTarget& target = *found->second;
-    target.probePending = false;
-    target.nextProbe = now + probeInterval;
-    const bool wasUnreachable = target.unreachable;
-    if (outcome == ProbeOutcome::Inconclusive)
-        return false;
-    if (outcome == ProbeOutcome::Connected) {
-        target.suspected = false;
-        target.failedProbes = 0;
-        target.unreachable = false;
-        return wasUnreachable;
-    }
-    if (!target.suspected)
-        return false;
-    ++target.failedProbes;
-    const std::uint32_t needed = target.unreachableReports > 0 ? 1 : unreachableThreshold;
-    target.unreachable = outcome == ProbeOutcome::Refused || target.failedProbes >= needed;
+    const bool isChanged = target.reachability.recordOutcome(outcome, now);
     // A network partition usually isolates a whole data centre, so its other targets are probed too.
-    if (target.unreachable && !wasUnreachable && outcome == ProbeOutcome::NoAnswer)
+    if (isChanged && target.reachability.isUnreachable() && outcome == ProbeOutcome::NoAnswer)
         m_implementation->suspectDataCentre(target, now);
-    return target.unreachable != wasUnreachable;
+    return isChanged;
+}
+
+std::vector<FlowReset> CookieSteering::takeResets(const std::string& id)
+{
+    std::vector<FlowReset> resets;
+    const auto found = m_implementation->pool.all().find(id);
+    if (found == m_implementation->pool.all().end() || !found->second->reachability.isUnreachable())
+        return resets;
+    const auto isIdempotent = [this](const FlowId& flow) { return m_implementation->isIdempotent(flow); };
+    for (const auto& [flow, acknowledgement] : m_implementation->flows.closePending(*found->second, isIdempotent)) {
+        FlowPacket packet;
+        packet.flow = flow;
+        packet.acknowledgement = acknowledgement;
+        resets.push_back({ packet, m_implementation->refuseUnreachable(packet, *found->second) });
+    }
+    return resets;
 }
 
 void CookieSteering::handleReport(const schema::TargetLoadReport& report, TimePoint now)
@@ -327,6 +348,7 @@
     self.flows.expire(idle, self.options.maxFlowAge, now);
     self.pool.expireReports(now);
     // The state of every flow is younger than this, so none refers to a removed target.
+    std::erase_if(self.suspects, [](const PooledTarget* target) { return target->phase == schema::TARGET_GONE; });
     self.pool.purgeGone(2 * self.options.maxFlowAge, now);
 }
 
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -233,6 +233,33 @@
     CHECK(handle(repeated).action == SteeringAction::Forward);
 }
 
+TEST_CASE_FIXTURE(Fixture, "requests that wait at a dead target are reset without another packet of their clients")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndSendRequest(first);
+    // A request that may run once waits for its target, and a flow without a request needs no reset.
+    const FlowPacket nonIdempotent = firstPacket(2, nonIdempotentPort);
+    handle(subsequentPacket(nonIdempotent, cookie, 1001, 0, 500));
+    handle(subsequentPacket(nonIdempotent, cookie, 1001, 100, 500));
+    handle(subsequentPacket(firstPacket(3), cookie, 1001, 0, 500));
+    clock.advance(Duration(200));
+    handle(subsequentPacket(first, cookie, 1001, 100, 500));
+    for (int probe = 0; probe < 2; ++probe) {
+        CHECK(steering.takeResets(idOf(cookie)).empty());
+        const std::vector<ProbeRequest> probes = steering.takeProbes(clock.now());
+        REQUIRE(probes.size() == 1);
+        CHECK(probes[0].reference.has_value() == (probe == 1));
+        clock.advance(probes[0].timeout);
+        steering.handleProbeOutcome(idOf(cookie), ProbeOutcome::NoAnswer, clock.now());
+    }
+    const std::vector<FlowReset> resets = steering.takeResets(idOf(cookie));
+    REQUIRE(resets.size() == 1);
+    CHECK(resets[0].packet.flow.clientPort == 1);
+    CHECK(resets[0].decision.code == ResultCode::FlowTargetUnreachable);
+    CHECK(resets[0].decision.resetSequence == 500);
+    CHECK(steering.takeResets(idOf(cookie)).empty());
+}
+
 TEST_CASE_FIXTURE(Fixture, "an entry host stops counting the load of flows that the fabric has moved to other hosts")
 {
     const FlowPacket first = firstPacket(1);
--- a/src/libbergamot/cookie/flow_table.cpp
+++ b/src/libbergamot/cookie/flow_table.cpp
@@ -111,6 +111,19 @@
     return observation;
 }
 
+std::vector<std::pair<FlowId, std::uint32_t>> FlowTable::closePending(
+    const PooledTarget& target, const std::function<bool(const FlowId&)>& matches)
+{
+    std::vector<std::pair<FlowId, std::uint32_t>> closed;
+    for (auto& [id, state] : m_flows) {
+        if (state.target != &target || !state.established || !state.requestPending || state.closed || !matches(id))
+            continue;
+        closed.emplace_back(id, state.acknowledged);
+        close(state);
+    }
+    return closed;
+}
+
 void FlowTable::expire(Duration idleTimeout, Duration maxAge, TimePoint now)
 {
     for (auto item = m_flows.begin(); item != m_flows.end();) {
--- a/src/libbergamot/cookie/flow_table.h
+++ b/src/libbergamot/cookie/flow_table.h
@@ -6,6 +6,7 @@
 
 #include "cookie/target_pool.h"
 
+#include <functional>
 #include <unordered_map>
 
 namespace bergamotroute {
@@ -52,6 +53,11 @@
     /// Updates a flow from the sequence numbers of its packet; an untracked flow is tracked from then on.
     FlowObservation observe(const FlowPacket& packet, PooledTarget& target, TimePoint now);
 
+    /// Closes the flows of a target that wait for a response and match a condition.
+    /// @return the closed flows, each with the last acknowledgement of its client.
+    std::vector<std::pair<FlowId, std::uint32_t>> closePending(
+        const PooledTarget& target, const std::function<bool(const FlowId&)>& matches);
+
     /// Removes flows that are closed, idle or older than maxAge.
     void expire(Duration idleTimeout, Duration maxAge, TimePoint now);
 
--- a/src/libbergamot/cookie/placement.cpp
+++ b/src/libbergamot/cookie/placement.cpp
@@ -48,7 +48,7 @@
         cost += m_options.remoteCost;
     if (target.silent)
         cost += m_options.silentCost;
-    if (target.avoidUntil > now || target.unreachable || target.unreachableReports > 0)
+    if (target.avoidUntil > now || target.reachability.isUnreachable() || target.reachability.isReported())
         cost += m_options.avoidCost;
     return cost;
 }
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -32,9 +32,7 @@
     const bool isRestart = !isNew && target.startTimeMs != record.born_ms();
     if (isRestart) {
         target.ownLoad = {};
-        target.suspected = false;
-        target.unreachable = false;
-        target.failedProbes = 0;
+        target.reachability.restart();
         target.avoidUntil = {};
         target.avoidCount = 0;
     }
@@ -127,8 +125,12 @@
     }
     for (const Cookie cookie : report.unreachable) {
         PooledTarget* target = findByCookie(cookie);
-        if (target && (sign > 0 || target->unreachableReports > 0))
-            target->unreachableReports += sign;
+        if (!target)
+            continue;
+        if (sign > 0)
+            target->reachability.addReport();
+        else
+            target->reachability.removeReport();
     }
 }
 
@@ -166,7 +168,7 @@
 {
     schema::TargetLoadReport report;
     for (const auto& [id, target] : m_targets) {
-        if (target->unreachable)
+        if (target->reachability.isUnreachable())
             report.add_unreachable_cookies(target->cookie);
         if (target->ownLoad.openFlows == 0 && target->ownLoad.requests == 0)
             continue;
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -9,6 +9,7 @@
 #include "bergamotroute/flow_packet.h"
 #include "bergamotroute/target_registry.h"
 #include "bergamotroute/types.h"
+#include "cookie/target_reachability.h"
 
 #include <array>
 #include <map>
@@ -44,16 +45,7 @@
     /// Load observed by this host, and load reported by other entry hosts.
     ObservedLoad ownLoad;
     ObservedLoad reportedLoad;
-    TimePoint lastResponse;
-    /// Must be probed, for example because a client has retransmitted a packet since the last response.
-    bool suspected = false;
-    bool probePending = false;
-    TimePoint nextProbe;
-    std::uint32_t failedProbes = 0;
-    /// Probes show that this host cannot reach it.
-    bool unreachable = false;
-    /// Number of other entry hosts in this host's data centre whose probes show the same.
-    std::uint32_t unreachableReports = 0;
+    TargetReachability reachability;
     /// Avoided for new flows before this time, because first packets got no response.
     TimePoint avoidUntil;
     std::uint32_t avoidCount = 0;
--- /dev/null
+++ b/src/libbergamot/cookie/target_reachability.h
@@ -0,0 +1,68 @@
+#pragma once
+
+/// @file
+/// Failure detector of one target: decides when an entry host probes it and when it counts as unreachable. Two quick
+/// probes without an answer suffice if a reference target of the same data centre answers meanwhile, because a slow
+/// path or a full link would delay both. Without such a reference the probes wait longer.
+
+#include "bergamotroute/clock.h"
+#include "bergamotroute/cookie_steering.h"
+
+#include <cstdint>
+
+namespace bergamotroute {
+
+/// How to probe a target.
+struct ProbePlan {
+    Duration timeout { 0 };
+    /// The outcome counts only if a reference target answers within the same time.
+    bool needsReference = false;
+};
+
+class TargetReachability {
+public:
+    /// Records a sign that the target may be unreachable, such as a retransmitted packet.
+    void suspect(TimePoint now);
+
+    /// Records that a client has received something new from the target.
+    void recordResponse(TimePoint now);
+
+    /// Forgets everything but the reports of other hosts; the target has been started again.
+    void restart();
+
+    /// @return true if the target is suspected, no probe is pending and the next one is due.
+    bool isProbeDue(TimePoint now) const;
+
+    /// Starts the probe that is due.
+    /// @param hasReference there is a target that can serve as reference.
+    ProbePlan takeProbe(bool hasReference);
+
+    /// @return true if the outcome changes whether the target is unreachable.
+    bool recordOutcome(ProbeOutcome outcome, TimePoint now);
+
+    /// Counts a host of the same data centre that reports the target as unreachable.
+    void addReport() { ++m_reports; }
+    void removeReport() { m_reports -= m_reports > 0 ? 1 : 0; }
+
+    bool isSuspected() const { return m_isSuspected; }
+    bool isUnreachable() const { return m_isUnreachable; }
+    bool isReported() const { return m_reports > 0; }
+
+    /// @return time of the last response, or the clock's epoch if there was none.
+    TimePoint lastResponse() const { return m_lastResponse; }
+
+private:
+    std::uint32_t neededFailures() const;
+
+    TimePoint m_lastResponse;
+    TimePoint m_nextProbe;
+    std::uint32_t m_failedProbes = 0;
+    std::uint32_t m_reports = 0;
+    bool m_isSuspected = false;
+    bool m_isUnreachable = false;
+    bool m_isProbePending = false;
+    /// Quick probes were inconclusive.
+    bool m_isPatient = false;
+};
+
+}
--- a/src/libbergamotio/connect_probe.cpp
+++ b/src/libbergamotio/connect_probe.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <memory>
 #include <netinet/in.h>
+#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -77,4 +78,35 @@
     event_add(owned.item.get(), &wait);
 }
 
+void probeTarget(EventLoop& loop, const ProbeRequest& request, std::function<void(ProbeOutcome)> handler)
+{
+    if (!request.reference) {
+        probeListener(loop, request.endpoint, request.timeout, std::move(handler));
+        return;
+    }
+    struct Outcomes {
+        std::optional<ProbeOutcome> target;
+        std::optional<ProbeOutcome> reference;
+        std::function<void(ProbeOutcome)> handler;
+
+        void finish()
+        {
+            if (!target || !reference)
+                return;
+            const bool isConfirmed = target != ProbeOutcome::NoAnswer || reference == ProbeOutcome::Connected;
+            handler(isConfirmed ? *target : ProbeOutcome::Inconclusive);
+        }
+    };
+    const auto outcomes = std::make_shared<Outcomes>();
+    outcomes->handler = std::move(handler);
+    probeListener(loop, request.endpoint, request.timeout, [outcomes](ProbeOutcome outcome) {
+        outcomes->target = outcome;
+        outcomes->finish();
+    });
+    probeListener(loop, *request.reference, request.timeout, [outcomes](ProbeOutcome outcome) {
+        outcomes->reference = outcome;
+        outcomes->finish();
+    });
+}
+
 }
--- a/src/libbergamotio/connect_probe.h
+++ b/src/libbergamotio/connect_probe.h
@@ -22,4 +22,8 @@
 void probeListener(
     EventLoop& loop, const Endpoint& endpoint, Duration timeout, std::function<void(ProbeOutcome)> handler);
 
+/// Probes a target and, if the request names one, its reference at the same time.
+/// @param handler called exactly once, later on the loop; with Inconclusive if neither answers.
+void probeTarget(EventLoop& loop, const ProbeRequest& request, std::function<void(ProbeOutcome)> handler);
+
 }
