Show the steps of each start with bergamotctl timeline; probe a target that comes back

Cause: after a loss of power nobody could see from the logs which step delays an entry host; and a target that was unreachable when it was marked as gone stayed suspected without being probed if the same incarnation came back (found by reading, the new test fails without the change). Change: the line 'started' has the processor time used so far; findStarts() reads the steps from log lines. A target that is gone loses its suspicion. Ruled out: a step for the start of the process itself, which no line of ours can show.

--- a/packaging/bergamotctl.bash
+++ b/packaging/bergamotctl.bash
@@ -7,7 +7,7 @@
     done
     local offer=
     case ${#words[@]}:${words[0]} in
-    0:*) offer="service backend datacentre host control status dump history watch check explain manifest runbook request settings-page result-codes-page completion-script command-names" ;;
+    0:*) offer="service backend datacentre host control status dump history watch check explain timeline manifest runbook request settings-page result-codes-page completion-script command-names" ;;
     1:backend) offer="list drain ready weight maintenance remove" ;;
     1:control) offer="status add promote remove replace" ;;
     1:datacentre) offer="stop start" ;;
@@ -27,6 +27,7 @@
         "history ") offer="--since --settings --control --entry --token-file --format --request-id --expect-revision --wait --wait-seconds --timeout-ms --force --dry-run" ;;
         "watch ") offer="--since --count --settings --control --entry --token-file --format --request-id --expect-revision --wait --wait-seconds --timeout-ms --force --dry-run" ;;
         "explain ") offer="--flow --target --document --from --until --settings --control --entry --token-file --format --request-id --expect-revision --wait --wait-seconds --timeout-ms --force --dry-run" ;;
+        "timeline ") offer="--from --until --settings --control --entry --token-file --format --request-id --expect-revision --wait --wait-seconds --timeout-ms --force --dry-run" ;;
         "runbook run") offer="--restart --settings --control --entry --token-file --format --request-id --expect-revision --wait --wait-seconds --timeout-ms --force --dry-run" ;;
         *) offer="--settings --control --entry --token-file --format --request-id --expect-revision --wait --wait-seconds --timeout-ms --force --dry-run" ;;
         esac
--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -1,6 +1,7 @@
 #include "bergamot-directory/directory_daemon.h"
 
 #include "libbergamotio/log.h"
+#include "libbergamotio/process_time.h"
 
 #include <algorithm>
 #include <random>
@@ -141,6 +142,7 @@
     m_checkTimer.start(checkInterval);
     writeLog(LogLevel::Info, ResultCode::Ok, "started",
         { { "identity", m_quorum.identity() }, { "operators", m_settings.operator_listen() },
+            { "cpu_ms", std::to_string(processorTime().count()) },
             { "version", std::to_string(m_quorum.log().configuration().document().version()) } });
     return {};
 }
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -4,6 +4,7 @@
 #include "libbergamotio/connect_probe.h"
 #include "libbergamotio/log.h"
 #include "libbergamotio/metrics.h"
+#include "libbergamotio/process_time.h"
 
 #include <algorithm>
 #include <prometheus/registry.h>
@@ -123,7 +124,8 @@
     addSeeds(m_settings);
     m_controlClient.start();
     m_checkTimer.start(checkInterval);
-    writeLog(LogLevel::Info, ResultCode::Ok, "started", { { "packets", m_settings.packet_listen() } });
+    writeLog(LogLevel::Info, ResultCode::Ok, "started",
+        { { "packets", m_settings.packet_listen() }, { "cpu_ms", std::to_string(processorTime().count()) } });
     return {};
 }
 
--- a/src/bergamotctl/command_table.cpp
+++ b/src/bergamotctl/command_table.cpp
@@ -64,6 +64,8 @@
         { "explain", "", "FILE...", "Explain a flow, target or document from log files; - is standard input.",
             "flow target document from until", "explain --flow \"10.1.0.9:4000>10.9.0.1:443\" hosts.log", runExplain,
             false },
+        { "timeline", "", "FILE...", "Show the steps of each start of a daemon from log files; - is standard input.",
+            "from until", "timeline --from 2026-12-04T15:00:00 hosts.log", runTimeline, false },
         { "manifest", "diff", "FILE", "Show the changes that lead to a manifest.", "", "manifest diff manifest.json",
             runManifestDiff, false },
         { "manifest", "apply", "FILE", "Bring a manifest into force as one change.", "",
--- a/src/bergamotctl/commands.h
+++ b/src/bergamotctl/commands.h
@@ -109,6 +109,7 @@
 ExitStatus runDump(Session& session, Arguments arguments);
 ExitStatus runHistory(Session& session, Arguments arguments);
 ExitStatus runExplain(Session& session, Arguments arguments);
+ExitStatus runTimeline(Session& session, Arguments arguments);
 ExitStatus runWatch(Session& session, Arguments arguments);
 ExitStatus runCheck(Session& session, Arguments arguments);
 ExitStatus runManifestDiff(Session& session, Arguments arguments);
--- a/src/bergamotctl/explain_command.cpp
+++ b/src/bergamotctl/explain_command.cpp
@@ -1,8 +1,9 @@
-// Explains a flow, a target or a document from the logs of the daemons.
+// Commands that read the logs of the daemons: explain a flow, a target or a document, and show the steps of starts.
 
 #include "bergamotctl/commands.h"
 #include "bergamotctl/flags.h"
 #include "bergamotctl/log_lines.h"
+#include "bergamotctl/start_timeline.h"
 #include "bergamotctl/table.h"
 
 #include "bergamotroute/result_code.h"
@@ -61,6 +62,27 @@
         return true;
     }
 
+    /// @return milliseconds, or "-" if the step is absent.
+    std::string describeStep(const std::optional<Duration>& step) { return step ? std::to_string(step->count()) : "-"; }
+
+    Json::Value toJson(const HostStart& start)
+    {
+        Json::Value object;
+        object["host"] = start.host;
+        object["program"] = start.program;
+        object["time"] = start.time;
+        const auto add = [&object](const char* key, const std::optional<Duration>& step) {
+            if (step)
+                object[key] = static_cast<Json::Int64>(step->count());
+        };
+        add("cpu_ms", start.processorTime);
+        add("control_host_ms", start.controlHost);
+        add("document_ms", start.document);
+        add("leader_ms", start.leader);
+        add("first_flow_ms", start.firstFlow);
+        return object;
+    }
+
 }
 
 ExitStatus runExplain(Session& session, Arguments arguments)
@@ -92,4 +114,36 @@
     return ExitStatus::Done;
 }
 
+ExitStatus runTimeline(Session& session, Arguments arguments)
+{
+    std::vector<Json::Value> lines;
+    std::size_t ignored = 0;
+    if (!readFiles(session, arguments, lines, ignored))
+        return ExitStatus::Failed;
+    LogQuery query;
+    query.from = FLAGS_from;
+    query.until = FLAGS_until;
+    const std::vector<HostStart> starts = findStarts(selectLogLines(std::move(lines), query));
+    if (session.isJson()) {
+        Json::Value list(Json::arrayValue);
+        for (const HostStart& start : starts)
+            list.append(toJson(start));
+        session.out() << list.toStyledString();
+        return ExitStatus::Done;
+    }
+    if (ignored > 0)
+        session.err() << ignored << " lines are no log lines\n";
+    if (starts.empty()) {
+        session.err() << "no start is logged\n";
+        return ExitStatus::Failed;
+    }
+    Table table({ "STARTED", "HOST", "CPU_MS", "CONTROL_HOST_MS", "DOCUMENT_MS", "LEADER_MS", "FIRST_FLOW_MS" });
+    for (const HostStart& start : starts) {
+        table.add({ start.time, start.host, describeStep(start.processorTime), describeStep(start.controlHost),
+            describeStep(start.document), describeStep(start.leader), describeStep(start.firstFlow) });
+    }
+    table.print(session.out());
+    return ExitStatus::Done;
+}
+
 }
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -51,6 +51,8 @@
     void avoid(PooledTarget& target, TimePoint now);
     static void markResponsive(PooledTarget& target, TimePoint now);
     void suspect(PooledTarget& target, TimePoint now);
+    /// Removes the targets that are no longer suspected or are gone.
+    void pruneSuspects();
     const PooledTarget* findReference(const PooledTarget& suspected) const;
     bool isIdempotent(const FlowId& flow) const;
     void suspectDataCentre(const PooledTarget& unreachable, TimePoint now);
@@ -132,6 +134,16 @@
     }
 }
 
+void CookieSteering::Implementation::pruneSuspects()
+{
+    std::erase_if(suspects, [](PooledTarget* target) {
+        // If a target that is gone comes back, its reachability is unknown.
+        if (target->phase == schema::TARGET_GONE)
+            target->reachability.restart();
+        return !target->reachability.isSuspected();
+    });
+}
+
 const PooledTarget* CookieSteering::Implementation::findReference(const PooledTarget& suspected) const
 {
     const PooledTarget* reference = nullptr;
@@ -278,9 +290,7 @@
 std::vector<ProbeRequest> CookieSteering::takeProbes(TimePoint now)
 {
     Implementation& self = *m_implementation;
-    std::erase_if(self.suspects, [](const PooledTarget* target) {
-        return !target->reachability.isSuspected() || target->phase == schema::TARGET_GONE;
-    });
+    self.pruneSuspects();
     std::vector<ProbeRequest> requests;
     for (PooledTarget* target : self.suspects) {
         if (!target->reachability.isProbeDue(now))
@@ -348,7 +358,7 @@
     self.flows.expire(idle, self.options.maxFlowAge, now);
     self.pool.expireReports(now);
     // The state of every flow is younger than this, so none refers to a removed target.
-    std::erase_if(self.suspects, [](const PooledTarget* target) { return target->phase == schema::TARGET_GONE; });
+    self.pruneSuspects();
     self.pool.purgeGone(2 * self.options.maxFlowAge, now);
 }
 
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -260,6 +260,22 @@
     CHECK(steering.takeResets(idOf(cookie)).empty());
 }
 
+TEST_CASE_FIXTURE(Fixture, "a target that was unreachable and gone is probed again after it has come back")
+{
+    const FlowPacket first = firstPacket(1);
+    const Cookie cookie = openAndSendRequest(first);
+    const FlowPacket repeated = subsequentPacket(first, cookie, 1001, 100, 500);
+    handle(repeated);
+    steering.takeProbes(clock.now());
+    steering.handleProbeOutcome(idOf(cookie), ProbeOutcome::Refused, clock.now());
+    steering.updateTarget(makeTarget(idOf(cookie), schema::TARGET_GONE), clock.now());
+    steering.advance(clock.now());
+    steering.updateTarget(makeTarget(idOf(cookie)), clock.now());
+    clock.advance(Duration(300));
+    CHECK(handle(repeated).action == SteeringAction::Forward);
+    CHECK(steering.takeProbes(clock.now()).size() == 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "an entry host stops counting the load of flows that the fabric has moved to other hosts")
 {
     const FlowPacket first = firstPacket(1);
