--- a/src/libbergamot/directory/control_selector.cpp
+++ b/src/libbergamot/directory/control_selector.cpp
@@ -73,6 +73,7 @@
         byCost.emplace_back(costOf(endpoint, candidate, now), endpoint);
     std::sort(byCost.begin(), byCost.end());
     std::vector<std::string> endpoints;
+    endpoints.reserve(byCost.size());
     for (auto& [cost, endpoint] : byCost)
         endpoints.push_back(std::move(endpoint));
     return endpoints;
--- a/src/libbergamotio/connect_probe_test.cpp
+++ b/src/libbergamotio/connect_probe_test.cpp
@@ -66,7 +66,8 @@
     for (int connection = 0; connection < 3; ++connection) {
         waiting.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
         const SocketAddress target = toSocketAddress(silent);
-        ::connect(waiting.back(), target.get(), target.length);
+        // Returns before the connection is open.
+        static_cast<void>(::connect(waiting.back(), target.get(), target.length));
     }
     const auto probeWith = [&](const Endpoint& target, const Endpoint& reference) {
         std::optional<ProbeOutcome> result;
