Prefer targets with a recent response for a flow whose first target did not answer

There an entry host meets a target once in some 50 s, so it knows of few dark targets, but it knows some 15 that have answered within 3 s. Change: for such a flow a target without a response within 3 s costs two more. Ruled out: sharing verdicts between hosts (load reports come each 4 s on 2 Mbit/s; verdicts of one's own come after 0.4 s now).

--- a/src/libbergamot/cookie/placement.cpp
+++ b/src/libbergamot/cookie/placement.cpp
@@ -64,7 +64,9 @@
     for (PooledTarget* target : targets) {
         if (!target->takesNewFlows())
             continue;
-        const double cost = costOf(*target, minRemoteIdleLoad, now);
+        double cost = costOf(*target, minRemoteIdleLoad, now);
+        if (excluded && now - target->reachability.lastResponse() >= m_options.provenFor)
+            cost += m_options.unprovenCost;
         PlacementChoice& selected = target == excluded ? fallback : best;
         if (!selected.target || cost < selected.cost) {
             selected.target = target;
--- a/src/libbergamot/cookie/placement.h
+++ b/src/libbergamot/cookie/placement.h
@@ -25,6 +25,10 @@
     double slowStartCost = 0.7;
     /// Extra cost of a target without recent heartbeats.
     double silentCost = 3.0;
+    /// Extra cost, for a flow whose previous target did not answer, of a target without a recent response: several
+    /// targets often fail together, and a second miss costs the client its third try.
+    double unprovenCost = 2.0;
+    Duration provenFor { 3000 };
     /// Extra cost of a target that has not answered first packets or that probes could not reach.
     double avoidCost = 20.0;
 };
@@ -42,7 +46,8 @@
     /// @param host name of this entry host; seeds its own order of targets with equal load.
     Placement(PlacementOptions options, std::string host, std::string dataCentre);
 
-    /// @param excluded a target to be chosen only if there is no other; may be null.
+    /// @param excluded the target that did not answer the flow's first packet, to be chosen only if there is no other;
+    /// null for a new flow.
     PlacementChoice choose(
         const std::vector<PooledTarget*>& targets, const PooledTarget* excluded, TimePoint now) const;
 
--- a/src/libbergamot/cookie/placement_test.cpp
+++ b/src/libbergamot/cookie/placement_test.cpp
@@ -4,6 +4,7 @@
 
 #include "cookie/placement.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace bergamotroute;
@@ -73,3 +74,22 @@
             CHECK(target.ownLoad.openFlows <= 60);
     }
 }
+
+TEST_CASE_FIXTURE(TwoDataCentres,
+    "if a fifth of the targets fails at once, a flow whose first target did not answer goes to one that has responded")
+{
+    const PooledTarget* failed = placement.choose(pointers, nullptr, clock.now()).target;
+    PooledTarget& proven = *std::find_if(targets.begin(), targets.end(),
+        [failed](const PooledTarget& target) { return target.dataCentre == "a" && &target != failed; });
+    proven.reachability.recordResponse(clock.now());
+    // Its load is a little higher than that of the targets of which nothing is known.
+    proven.reportedLoad.requests = slots;
+    CHECK(placement.choose(pointers, failed, clock.now()).target == &proven);
+    CHECK(placement.choose(pointers, nullptr, clock.now()).target != &proven);
+    // A response does not count for long, and load counts more than a response.
+    clock.advance(Duration(3000));
+    CHECK(placement.choose(pointers, failed, clock.now()).target != &proven);
+    proven.reachability.recordResponse(clock.now());
+    proven.reportedLoad.requests = 4 * slots;
+    CHECK(placement.choose(pointers, failed, clock.now()).target != &proven);
+}
