--- a/src/libbergamotio/process_time.cpp
+++ b/src/libbergamotio/process_time.cpp
@@ -1,13 +1,25 @@
 #include "libbergamotio/process_time.h"
 
-#include <ctime>
+#include <sys/resource.h>
 
 namespace bergamotroute {
 
+namespace {
+
+    Duration toDuration(const timeval& time)
+    {
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec));
+    }
+
+}
+
 Duration processorTime()
 {
-    const std::chrono::duration<double> seconds(static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
-    return std::chrono::duration_cast<Duration>(seconds);
+    rusage usage {};
+    // Cannot fail with these arguments.
+    static_cast<void>(::getrusage(RUSAGE_SELF, &usage));
+    return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
 }
 
 }
