Simplify the race, the failure detector and the log commands after a second reading

A race starts one attempt at a time, so takeDueAttempt() returns an optional. Behaviour and assertions stay; the test of the race wraps the optional.

--- a/src/bergamot-entry/control_client.cpp
+++ b/src/bergamot-entry/control_client.cpp
@@ -74,7 +74,8 @@
 
 void ControlClient::continueRace()
 {
-    for (const std::string& endpoint : m_race.takeDueAttempts(m_loop.now())) {
+    if (const std::optional<std::string> due = m_race.takeDueAttempt(m_loop.now())) {
+        const std::string& endpoint = *due;
         RpcClient* client = m_clients.clientFor(endpoint);
         if (client)
             client->open([this, endpoint](bool isOpen) { handleAttempt(endpoint, isOpen); });
--- a/src/bergamotctl/explain_command.cpp
+++ b/src/bergamotctl/explain_command.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <map>
 
 namespace bergamotroute {
@@ -62,10 +63,26 @@
         return true;
     }
 
+    /// Prints a JSON array.
+    ExitStatus printJson(Session& session, const std::vector<Json::Value>& items)
+    {
+        Json::Value list(Json::arrayValue);
+        for (const Json::Value& item : items)
+            list.append(item);
+        session.out() << list.toStyledString();
+        return ExitStatus::Done;
+    }
+
+    void reportIgnored(Session& session, std::size_t ignored)
+    {
+        if (ignored > 0)
+            session.err() << ignored << " lines are no log lines\n";
+    }
+
     /// @return milliseconds, or "-" if the step is absent.
     std::string describeStep(const std::optional<Duration>& step) { return step ? std::to_string(step->count()) : "-"; }
 
-    Json::Value toJson(const HostStart& start)
+    Json::Value jsonOf(const HostStart& start)
     {
         Json::Value object;
         object["host"] = start.host;
@@ -93,15 +110,9 @@
         return ExitStatus::Failed;
     const LogQuery query { FLAGS_flow, FLAGS_target, FLAGS_document, FLAGS_from, FLAGS_until };
     const std::vector<Json::Value> selected = selectLogLines(std::move(lines), query);
-    if (session.isJson()) {
-        Json::Value list(Json::arrayValue);
-        for (const Json::Value& line : selected)
-            list.append(line);
-        session.out() << list.toStyledString();
-        return ExitStatus::Done;
-    }
-    if (ignored > 0)
-        session.err() << ignored << " lines are no log lines\n";
+    if (session.isJson())
+        return printJson(session, selected);
+    reportIgnored(session, ignored);
     if (selected.empty()) {
         session.err() << "no log line matches\n";
         return ExitStatus::Failed;
@@ -125,14 +136,11 @@
     query.until = FLAGS_until;
     const std::vector<HostStart> starts = findStarts(selectLogLines(std::move(lines), query));
     if (session.isJson()) {
-        Json::Value list(Json::arrayValue);
-        for (const HostStart& start : starts)
-            list.append(toJson(start));
-        session.out() << list.toStyledString();
-        return ExitStatus::Done;
+        std::vector<Json::Value> objects;
+        std::transform(starts.begin(), starts.end(), std::back_inserter(objects), jsonOf);
+        return printJson(session, objects);
     }
-    if (ignored > 0)
-        session.err() << ignored << " lines are no log lines\n";
+    reportIgnored(session, ignored);
     if (starts.empty()) {
         session.err() << "no start is logged\n";
         return ExitStatus::Failed;
--- a/src/bergamotctl/start_timeline.cpp
+++ b/src/bergamotctl/start_timeline.cpp
@@ -13,9 +13,11 @@
 
     void recordStep(std::optional<Duration>& step, const std::string& begin, const std::string& end)
     {
+        if (step)
+            return;
         const std::optional<Duration> from = parseLogTime(begin);
         const std::optional<Duration> until = parseLogTime(end);
-        if (!step && from && until)
+        if (from && until)
             step = *until - *from;
     }
 
--- a/src/include/bergamotroute/connection_race.h
+++ b/src/include/bergamotroute/connection_race.h
@@ -25,8 +25,8 @@
     /// @param endpoints in order of preference.
     void start(std::vector<std::string> endpoints, TimePoint now);
 
-    /// @return endpoints to connect to now.
-    std::vector<std::string> takeDueAttempts(TimePoint now);
+    /// @return the endpoint to connect to now; nothing if no attempt is due.
+    std::optional<std::string> takeDueAttempt(TimePoint now);
 
     /// @return time of the next attempt; noDeadline if none is left.
     TimePoint nextAttempt() const;
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -295,7 +295,7 @@
     for (PooledTarget* target : self.suspects) {
         if (!target->reachability.isProbeDue(now))
             continue;
-        const PooledTarget* reference = self.findReference(*target);
+        const PooledTarget* reference = target->reachability.wantsReference() ? self.findReference(*target) : nullptr;
         const ProbePlan plan = target->reachability.takeProbe(reference != nullptr);
         ProbeRequest request { target->id, target->endpoint, plan.timeout, std::nullopt };
         if (plan.needsReference)
--- a/src/libbergamot/cookie/target_reachability.cpp
+++ b/src/libbergamot/cookie/target_reachability.cpp
@@ -27,10 +27,7 @@
 void TargetReachability::recordResponse(TimePoint now)
 {
     m_lastResponse = now;
-    m_isSuspected = false;
-    m_isUnreachable = false;
-    m_isPatient = false;
-    m_failedProbes = 0;
+    restart();
 }
 
 void TargetReachability::restart()
@@ -48,17 +45,22 @@
     return m_isSuspected && !m_isProbePending && now >= m_nextProbe;
 }
 
+bool TargetReachability::wantsReference() const
+{
+    return !m_isPatient && !m_isUnreachable && m_failedProbes + 1 >= neededFailures();
+}
+
 ProbePlan TargetReachability::takeProbe(bool hasReference)
 {
     m_isProbePending = true;
-    const bool isDecisive = m_failedProbes + 1 >= neededFailures();
-    if (isDecisive && !hasReference && !m_isPatient && !m_isUnreachable) {
+    const bool needsReference = wantsReference();
+    if (needsReference && !hasReference) {
         m_isPatient = true;
         m_failedProbes = 0;
     }
     if (m_isPatient || m_isUnreachable)
         return { patientTimeout, false };
-    return { quickTimeout, isDecisive };
+    return { quickTimeout, needsReference };
 }
 
 bool TargetReachability::recordOutcome(ProbeOutcome outcome, TimePoint now)
--- a/src/libbergamot/cookie/target_reachability.h
+++ b/src/libbergamot/cookie/target_reachability.h
@@ -33,8 +33,11 @@
     /// @return true if the target is suspected, no probe is pending and the next one is due.
     bool isProbeDue(TimePoint now) const;
 
+    /// @return true if the next probe is a quick one that decides, which takes a reference target.
+    bool wantsReference() const;
+
     /// Starts the probe that is due.
-    /// @param hasReference there is a target that can serve as reference.
+    /// @param hasReference there is a target that can serve as reference; ignored unless wantsReference().
     ProbePlan takeProbe(bool hasReference);
 
     /// @return true if the outcome changes whether the target is unreachable.
--- a/src/libbergamot/directory/connection_race.cpp
+++ b/src/libbergamot/directory/connection_race.cpp
@@ -1,6 +1,5 @@
 #include "bergamotroute/connection_race.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace bergamotroute {
@@ -12,16 +11,14 @@
     m_nextAttempt = now;
 }
 
-std::vector<std::string> ConnectionRace::takeDueAttempts(TimePoint now)
+std::optional<std::string> ConnectionRace::takeDueAttempt(TimePoint now)
 {
-    std::vector<std::string> due;
     if (m_waiting.empty() || now < m_nextAttempt)
-        return due;
-    due.push_back(m_waiting.back());
-    m_pending.push_back(m_waiting.back());
+        return std::nullopt;
+    m_pending.push_back(std::move(m_waiting.back()));
     m_waiting.pop_back();
     m_nextAttempt = now + m_attemptDelay;
-    return due;
+    return m_pending.back();
 }
 
 TimePoint ConnectionRace::nextAttempt() const { return m_waiting.empty() ? noDeadline : m_nextAttempt; }
--- a/src/libbergamot/directory/connection_race_test.cpp
+++ b/src/libbergamot/directory/connection_race_test.cpp
@@ -18,7 +18,11 @@
 
     Fixture() { race.start({ "1:1", "2:1", "3:1" }, clock.now()); }
 
-    std::vector<std::string> takeDue() { return race.takeDueAttempts(clock.now()); }
+    std::vector<std::string> takeDue()
+    {
+        const std::optional<std::string> due = race.takeDueAttempt(clock.now());
+        return due ? std::vector<std::string> { *due } : std::vector<std::string>();
+    }
 };
 
 using Endpoints = std::vector<std::string>;
