Split cookie steering and its daemon by job

Change: first packets, reachability and decisions are modules of their own; the packet path (socket, held packets, probes) leaves the daemon.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -1,7 +1,6 @@
 #include "bergamot-entry/cookie_entry_daemon.h"
 
 #include "bergamotroute/routing_record.h"
-#include "libbergamotio/connect_probe.h"
 #include "libbergamotio/log.h"
 #include "libbergamotio/metrics.h"
 #include "libbergamotio/process_time.h"
@@ -13,16 +12,7 @@
 
 namespace {
 
-    /// Maximum datagram size: a packet of 1,500 bytes and its prefix, with headroom.
-    constexpr std::size_t maxDatagramBytes = 2048;
-    constexpr unsigned maxBatchesPerEvent = 4;
     constexpr Duration checkInterval { 250 };
-    /// Limits on the number of packets that wait for the target registry or the routing document, and on their waiting
-    /// time, which is shorter than the time after which clients give up.
-    constexpr std::size_t maxHeldPackets = 2048;
-    constexpr Duration heldLifetime { 500 };
-    /// Interval at which suspected targets are checked for a due probe while no packets arrive.
-    constexpr Duration probeCheckInterval { 100 };
     /// Fraction of the grace period during which a stopping host keeps forwarding.
     constexpr double forwardingFraction = 0.75;
     constexpr Duration maxForwardingTime { 4500 };
@@ -95,26 +85,23 @@
     , m_registry(makeRegistryOptions(m_settings))
     , m_controlClient(loop, makeRecord(m_settings),
           [this](const schema::EntrySyncAnswer& response) { handleSyncResponse(response); })
-    , m_packetSocket(maxDatagramBytes)
     , m_readinessServer(loop)
     , m_metricsServer(loop)
-    , m_heldPackets(maxHeldPackets, heldLifetime)
+    , m_packets(loop, m_steering, m_adapter.codec, m_histograms)
     , m_reporter(loop, m_steering, m_settings.link_mbps())
-    , m_packetTime(
-          m_histograms, "bergamot_entry_packet_seconds", "Time from receiving a batch of packets to forwarding it.")
-    , m_packetEndpoint(parseEndpoint(m_settings.packet_listen()))
     , m_checkTimer(loop,
           [this] {
               m_steering.advance(m_loop.now());
               m_registry.advance(m_loop.now());
               m_checkTimer.start(checkInterval);
           })
-    , m_heldTimer(loop, [this] { retryHeldPackets(); })
-    , m_probeTimer(loop, [this] { startProbes(); })
     , m_stopTimer(loop, [this] { m_loop.stop(); })
 {
     m_registry.setObserver(
         [this](const RegisteredTarget& target, TargetEvent event) { handleTargetEvent(target, event); });
+    m_packets.setDecisionObserver(
+        [this](const FlowPacket& packet, const SteeringDecision& decision) { logDecision(packet, decision); });
+    m_packets.setBatchObserver([this] { m_reporter.scheduleReport(); });
 }
 
 std::error_code CookieEntryDaemon::start()
@@ -138,13 +125,12 @@
         return !error;
     };
     const std::string peerText = hostAndPort(m_settings.address(), m_settings.internal_port());
-    error = m_packetSocket.open(m_packetEndpoint);
+    error = m_packets.open(parseEndpoint(m_settings.packet_listen()));
     if (!check(m_settings.packet_listen()))
         return error;
     error = m_reporter.open(parseEndpoint(peerText));
     if (!check(peerText))
         return error;
-    m_packetWatch = std::make_unique<ReadWatch>(m_loop, m_packetSocket.descriptor(), [this] { receivePackets(); });
     m_readinessServer.route(
         "GET", m_adapter.readinessPath, HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
             exchange->reply(isReady() ? HttpStatus::Ok : HttpStatus::ServiceUnavailable, "{}", "application/json");
@@ -190,8 +176,7 @@
         }
         m_reporter.setPeers(std::move(localPeers), std::move(remotePeers));
     }
-    if (!m_heldPackets.isEmpty())
-        retryHeldPackets();
+    m_packets.retryHeldPackets();
     if (!m_wasReady && isReady()) {
         m_wasReady = true;
         writeLog(LogLevel::Info, ResultCode::Ok, "ready",
@@ -242,123 +227,6 @@
     return !m_stopping && m_steering.documentVersion() > 0 && !m_registry.targets().empty();
 }
 
-void CookieEntryDaemon::receivePackets()
-{
-    const auto begin = std::chrono::steady_clock::now();
-    for (unsigned batch = 0; batch < maxBatchesPerEvent; ++batch) {
-        const std::size_t count = m_packetSocket.receive([this](std::span<const std::byte> datagram, const Endpoint&) {
-            if (!handleDatagram(datagram, false))
-                hold(datagram);
-        });
-        m_packetCounters.received += count;
-        if (count < UdpSocket::batchSize)
-            break;
-    }
-    m_packetSocket.flush();
-    m_packetTime.observe(std::chrono::steady_clock::now() - begin);
-    startProbes();
-    m_reporter.scheduleReport();
-}
-
-void CookieEntryDaemon::startProbes()
-{
-    for (const ProbeRequest& request : m_steering.takeProbes(m_loop.now())) {
-        probeTarget(m_loop, request, [this, request](ProbeOutcome outcome) { handleProbeOutcome(request, outcome); });
-    }
-}
-
-void CookieEntryDaemon::handleProbeOutcome(const ProbeRequest& request, ProbeOutcome outcome)
-{
-    const bool changed = m_steering.handleProbeOutcome(request.target, outcome, m_loop.now());
-    if (changed) {
-        writeLog(LogLevel::Warning,
-            outcome == ProbeOutcome::Connected ? ResultCode::TargetResponsive : ResultCode::TargetUnresponsive,
-            outcome == ProbeOutcome::Refused ? "connection refused: nothing listens at the endpoint of the target"
-                                             : "connection probe changed the target state",
-            { { "target", request.target }, { "endpoint", request.endpoint.toString() } });
-        for (const FlowReset& flowReset : m_steering.takeResets(request.target)) {
-            reset(flowReset.packet, flowReset.decision);
-            logDecision(flowReset.packet, flowReset.decision);
-        }
-        m_packetSocket.flush();
-    }
-    startProbes();
-    if (outcome != ProbeOutcome::Connected)
-        m_probeTimer.start(probeCheckInterval);
-}
-
-void CookieEntryDaemon::hold(std::span<const std::byte> datagram)
-{
-    const std::optional<FlowPacket> packet = m_adapter.codec.parse(datagram);
-    if (!packet)
-        return;
-    ++m_packetCounters.held;
-    if (!m_heldPackets.add(datagram, retransmissionKey(*packet), m_loop.now()))
-        handleDatagram(datagram, true);
-    if (!m_heldPackets.isEmpty())
-        m_heldTimer.startAt(m_heldPackets.nextDeadline());
-}
-
-void CookieEntryDaemon::retryHeldPackets()
-{
-    m_heldPackets.retry(m_loop.now(), [this](std::span<const std::byte> datagram, bool isLastAttempt) {
-        return handleDatagram(datagram, isLastAttempt);
-    });
-    m_packetSocket.flush();
-    if (!m_heldPackets.isEmpty())
-        m_heldTimer.startAt(m_heldPackets.nextDeadline());
-}
-
-bool CookieEntryDaemon::handleDatagram(std::span<const std::byte> datagram, bool isLastAttempt)
-{
-    const std::optional<FlowPacket> packet = m_adapter.codec.parse(datagram);
-    if (!packet) {
-        ++m_packetCounters.malformed;
-        return true;
-    }
-    const SteeringDecision decision = m_steering.handlePacket(*packet, m_loop.now());
-    switch (decision.action) {
-    case SteeringAction::Forward:
-        forward(*packet, datagram, decision);
-        break;
-    case SteeringAction::Reset:
-        reset(*packet, decision);
-        break;
-    case SteeringAction::Hold:
-        if (!isLastAttempt)
-            return false;
-        ++m_packetCounters.dropped;
-        break;
-    case SteeringAction::Drop:
-        ++m_packetCounters.dropped;
-        break;
-    }
-    if (decision.code != ResultCode::Ok)
-        logDecision(*packet, decision);
-    return true;
-}
-
-void CookieEntryDaemon::forward(
-    const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision)
-{
-    ++m_packetCounters.forwarded;
-    const std::vector<std::byte> prefix = m_adapter.codec.targetPrefix(decision.targetNumber);
-    if (packet.cookie == decision.cookie) {
-        m_packetSocket.queue(decision.endpoint, prefix, datagram);
-        return;
-    }
-    m_rewriteBuffer.assign(datagram.begin(), datagram.end());
-    m_adapter.codec.writeCookie(m_rewriteBuffer, decision.cookie);
-    m_packetSocket.queue(decision.endpoint, prefix, m_rewriteBuffer);
-}
-
-void CookieEntryDaemon::reset(const FlowPacket& packet, const SteeringDecision& decision)
-{
-    ++m_packetCounters.resets;
-    const std::vector<std::byte> resetPacket = m_adapter.codec.makeReset(packet.flow, decision.resetSequence);
-    m_packetSocket.queue(toEndpoint(packet.flow.clientAddress, m_packetEndpoint.port), {}, resetPacket);
-}
-
 void CookieEntryDaemon::logDecision(const FlowPacket& packet, const SteeringDecision& decision) const
 {
     const bool isPlacement = decision.code == ResultCode::FlowPlaced;
--- a/src/bergamot-entry/entry_metrics.cpp
+++ b/src/bergamot-entry/entry_metrics.cpp
@@ -16,23 +16,24 @@
         setGauge(registry, "bergamot_entry_" + name, help, value);
     };
     const SteeringCounters& counters = m_steering.counters();
-    add("packets_received_total", "Packets from clients.", static_cast<double>(m_packetCounters.received));
+    add("packets_received_total", "Packets from clients.", static_cast<double>(m_packets.counters().received));
     add("packets_unreadable_total", "Datagrams that could not be parsed as packets.",
-        static_cast<double>(m_packetCounters.malformed));
-    add("packets_forwarded_total", "Packets forwarded to targets.", static_cast<double>(m_packetCounters.forwarded));
-    add("packets_dropped_total", "Packets dropped.", static_cast<double>(m_packetCounters.dropped));
+        static_cast<double>(m_packets.counters().malformed));
+    add("packets_forwarded_total", "Packets forwarded to targets.",
+        static_cast<double>(m_packets.counters().forwarded));
+    add("packets_dropped_total", "Packets dropped.", static_cast<double>(m_packets.counters().dropped));
     add("packets_held_total", "Packets queued until a target or the routing document was known.",
-        static_cast<double>(m_packetCounters.held));
+        static_cast<double>(m_packets.counters().held));
     add("targets_probed_total", "Connection probes of targets that did not respond.",
         static_cast<double>(counters.probes));
     add("flows_target_unreachable_total", "Packets rejected because their target is unreachable.",
         static_cast<double>(counters.targetUnreachable));
     add("send_errors_total", "Datagrams that the kernel did not accept for sending.",
-        static_cast<double>(m_packetSocket.sendErrors() + m_reporter.sendErrors()));
+        static_cast<double>(m_packets.sendErrors() + m_reporter.sendErrors()));
     add("load_reports_unreadable_total", "Datagrams on the load report port that could not be parsed.",
         static_cast<double>(m_reporter.malformedReports()));
     add("resets_total", "Flows that this host rejected or terminated with a reset.",
-        static_cast<double>(m_packetCounters.resets));
+        static_cast<double>(m_packets.counters().resets));
     add("first_packets_total", "First packets of flows, including retransmissions.",
         static_cast<double>(counters.firstPackets));
     add("flows_placed_total", "Flows assigned to a target.", static_cast<double>(counters.placed));
--- /dev/null
+++ b/src/bergamot-entry/packet_path.h
@@ -0,0 +1,83 @@
+#pragma once
+
+/// @file
+/// Path of packets through an entry host: receives the packets of clients, has them steered, and forwards, resets or
+/// holds them. Also probes the targets that do not respond.
+
+#include "bergamotroute/cookie_steering.h"
+#include "bergamotroute/held_packets.h"
+#include "libbergamotio/event_loop.h"
+#include "libbergamotio/metrics.h"
+#include "libbergamotio/udp_socket.h"
+
+#include <functional>
+#include <memory>
+#include <prometheus/registry.h>
+#include <vector>
+
+namespace bergamotroute {
+
+/// Counters since the start of the process.
+struct PacketCounters {
+    std::uint64_t received = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t resets = 0;
+    std::uint64_t dropped = 0;
+    std::uint64_t held = 0;
+};
+
+class PacketPath {
+public:
+    using DecisionObserver = std::function<void(const FlowPacket& packet, const SteeringDecision& decision)>;
+    using BatchObserver = std::function<void()>;
+
+    /// @param codec encapsulation of packets; must outlive the object, as must the steering and the registry.
+    /// @param registry takes the histogram of processing times.
+    PacketPath(EventLoop& loop, CookieSteering& steering, const FlowPacketCodec& codec, prometheus::Registry& registry);
+
+    /// Opens the socket and starts to receive.
+    /// @return the error if the socket cannot be opened.
+    std::error_code open(const Endpoint& listen);
+
+    /// Sets the observer of decisions that are worth a log line.
+    void setDecisionObserver(DecisionObserver observer) { m_decisionObserver = std::move(observer); }
+
+    /// Sets the observer that is called after each batch of received packets.
+    void setBatchObserver(BatchObserver observer) { m_batchObserver = std::move(observer); }
+
+    /// Decides again on the held packets; to be called when targets or routes have changed.
+    void retryHeldPackets();
+
+    const PacketCounters& counters() const { return m_counters; }
+
+    /// @return datagrams that the kernel did not accept for sending.
+    std::uint64_t sendErrors() const { return m_socket.sendErrors(); }
+
+private:
+    void receive();
+    /// @return false if the packet must be held and retried.
+    bool handleDatagram(std::span<const std::byte> datagram, bool isLastAttempt);
+    void hold(std::span<const std::byte> datagram);
+    void startProbes();
+    void handleProbeOutcome(const ProbeRequest& request, ProbeOutcome outcome);
+    void forward(const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision);
+    void reset(const FlowPacket& packet, const SteeringDecision& decision);
+
+    EventLoop& m_loop;
+    CookieSteering& m_steering;
+    const FlowPacketCodec& m_codec;
+    DecisionObserver m_decisionObserver;
+    BatchObserver m_batchObserver;
+    Endpoint m_listen;
+    UdpSocket m_socket;
+    std::unique_ptr<ReadWatch> m_watch;
+    std::vector<std::byte> m_rewriteBuffer;
+    HeldPackets m_heldPackets;
+    DurationHistogram m_batchTime;
+    PacketCounters m_counters;
+    Timer m_heldTimer;
+    Timer m_probeTimer;
+};
+
+}
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -1,8 +1,7 @@
 #include "bergamotroute/cookie_steering.h"
 
-#include "cookie/flow_table.h"
-#include "cookie/placement.h"
-#include "cookie/target_pool.h"
+#include "cookie/first_packet_steering.h"
+#include "cookie/steering_decisions.h"
 
 #include <algorithm>
 #include <xxhash.h>
@@ -11,16 +10,15 @@
 
 namespace {
 
-    /// Minimum and maximum time for which a target that does not answer first packets gets no new flows; doubles
-    /// each time in between.
-    constexpr Duration minAvoidance { 600 };
-    constexpr Duration maxAvoidance { 4800 };
     /// A target that is gone may still be sending its last responses; its flows are reset only after this time.
     constexpr Duration resetDelayAfterGone { 300 };
-    /// A target that has responded within this time is not suspected because another target is unreachable.
-    constexpr Duration recentResponse { 200 };
-    /// Further retransmissions of a first packet go to another target in any case.
-    constexpr std::uint32_t maxRetransmissionsToSameTarget = 1;
+
+    void markResponsive(PooledTarget& target, TimePoint now)
+    {
+        target.avoidUntil = {};
+        target.avoidCount = 0;
+        target.reachability.recordResponse(now);
+    }
 
 }
 
@@ -38,58 +36,27 @@
         , pool(options.targetNumberOf)
         , flows(options.flowCapacity)
         , placement({}, options.host, options.dataCentre)
+        , reachability(pool, options.dataCentre)
+        , firstPackets(routes, pool, flows, placement, reachability, counters)
     {
     }
 
-    SteeringDecision handleFirstPacket(const FlowPacket& packet, TimePoint now);
     SteeringDecision handleSubsequentPacket(const FlowPacket& packet, TimePoint now);
-    SteeringDecision placeFlow(
-        const FlowPacket& packet, const std::string& service, const PooledTarget* excluded, TimePoint now);
-    static SteeringDecision forwardTo(const PooledTarget& target, ResultCode code);
-    static SteeringDecision refuse(const FlowPacket& packet, ResultCode code);
     SteeringDecision refuseUnreachable(const FlowPacket& packet, const PooledTarget& target);
-    void avoid(PooledTarget& target, TimePoint now);
-    static void markResponsive(PooledTarget& target, TimePoint now);
-    void suspect(PooledTarget& target, TimePoint now);
-    /// Removes the targets that are no longer suspected or are gone.
-    void pruneSuspects();
-    const PooledTarget* findReference(const PooledTarget& suspected) const;
     bool isIdempotent(const FlowId& flow) const;
-    void suspectDataCentre(const PooledTarget& unreachable, TimePoint now);
+    PooledTarget* findTarget(const std::string& id) const;
 
     CookieSteeringOptions options;
     RouteTable routes;
     TargetPool pool;
     FlowTable flows;
     Placement placement;
+    ReachabilityMonitor reachability;
     SteeringCounters counters;
-    /// Targets to probe; those that are no longer suspected are removed by takeProbes().
-    std::vector<PooledTarget*> suspects;
+    FirstPacketSteering firstPackets;
     std::uint64_t reportSequence = 0;
 };
 
-SteeringDecision CookieSteering::Implementation::forwardTo(const PooledTarget& target, ResultCode code)
-{
-    SteeringDecision decision;
-    decision.action = SteeringAction::Forward;
-    decision.code = code;
-    decision.endpoint = target.endpoint;
-    decision.targetNumber = target.number;
-    decision.cookie = target.cookie;
-    decision.target = target.id;
-    decision.service = target.service;
-    return decision;
-}
-
-SteeringDecision CookieSteering::Implementation::refuse(const FlowPacket& packet, ResultCode code)
-{
-    SteeringDecision decision;
-    decision.action = SteeringAction::Reset;
-    decision.code = code;
-    decision.resetSequence = packet.acknowledgement;
-    return decision;
-}
-
 SteeringDecision CookieSteering::Implementation::refuseUnreachable(const FlowPacket& packet, const PooledTarget& target)
 {
     ++counters.targetUnreachable;
@@ -99,133 +66,16 @@
     return decision;
 }
 
-void CookieSteering::Implementation::avoid(PooledTarget& target, TimePoint now)
-{
-    if (target.avoidUntil > now)
-        return;
-    const Duration duration = std::min(maxAvoidance, minAvoidance * (1 << std::min(target.avoidCount, 8U)));
-    target.avoidUntil = now + duration;
-    ++target.avoidCount;
-    ++counters.avoidedTargets;
-}
-
-void CookieSteering::Implementation::markResponsive(PooledTarget& target, TimePoint now)
-{
-    target.avoidUntil = {};
-    target.avoidCount = 0;
-    target.reachability.recordResponse(now);
-}
-
-void CookieSteering::Implementation::suspect(PooledTarget& target, TimePoint now)
-{
-    if (target.reachability.isSuspected() || target.phase == schema::TARGET_GONE)
-        return;
-    target.reachability.suspect(now);
-    suspects.push_back(&target);
-}
-
-void CookieSteering::Implementation::suspectDataCentre(const PooledTarget& unreachable, TimePoint now)
-{
-    if (unreachable.dataCentre == options.dataCentre)
-        return;
-    for (const auto& [id, target] : pool.all()) {
-        if (target->dataCentre == unreachable.dataCentre && now - target->reachability.lastResponse() >= recentResponse)
-            suspect(*target, now);
-    }
-}
-
-void CookieSteering::Implementation::pruneSuspects()
-{
-    std::erase_if(suspects, [](PooledTarget* target) {
-        // If a target that is gone comes back, its reachability is unknown.
-        if (target->phase == schema::TARGET_GONE)
-            target->reachability.restart();
-        return !target->reachability.isSuspected();
-    });
-}
-
-const PooledTarget* CookieSteering::Implementation::findReference(const PooledTarget& suspected) const
-{
-    const PooledTarget* reference = nullptr;
-    for (const auto& [id, target] : pool.all()) {
-        const bool isCandidate = target->dataCentre == suspected.dataCentre && target->phase == schema::TARGET_READY
-            && !target->reachability.isSuspected();
-        if (isCandidate && (!reference || target->reachability.lastResponse() > reference->reachability.lastResponse()))
-            reference = target.get();
-    }
-    return reference;
-}
-
 bool CookieSteering::Implementation::isIdempotent(const FlowId& flow) const
 {
     const Route* route = routes.find(flow.serviceAddress, flow.servicePort);
     return route && route->kind != RequestKind::NonIdempotent;
 }
 
-SteeringDecision CookieSteering::Implementation::placeFlow(
-    const FlowPacket& packet, const std::string& service, const PooledTarget* excluded, TimePoint now)
+PooledTarget* CookieSteering::Implementation::findTarget(const std::string& id) const
 {
-    const PlacementChoice choice = placement.choose(pool.targetsOf(service), excluded, now);
-    if (!choice.target) {
-        SteeringDecision decision = refuse(packet, ResultCode::FlowNoTarget);
-        // A host that knows no target at all has just started, so the packet is held.
-        if (pool.all().empty())
-            decision.action = SteeringAction::Hold;
-        else
-            ++counters.noTarget;
-        decision.service = service;
-        return decision;
-    }
-    flows.assign(packet.flow, *choice.target, now);
-    SteeringDecision decision = forwardTo(*choice.target, ResultCode::FlowPlaced);
-    decision.cost = choice.cost;
-    decision.candidates = choice.candidates;
-    ++counters.placed;
-    return decision;
-}
-
-SteeringDecision CookieSteering::Implementation::handleFirstPacket(const FlowPacket& packet, TimePoint now)
-{
-    ++counters.firstPackets;
-    const Route* route = routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
-    if (!route) {
-        SteeringDecision unknown = refuse(packet, ResultCode::FlowRouteUnknown);
-        // A host without a routing document cannot tell that a route does not exist.
-        if (routes.version() == 0)
-            unknown.action = SteeringAction::Hold;
-        else
-            ++counters.routeUnknown;
-        return unknown;
-    }
-    const std::string& service = RouteTable::chooseService(*route, hashFlow(packet.flow, 0));
-    SteeringDecision decision;
-    FlowState* existing = flows.find(packet.flow);
-    // The acknowledgement field of a first packet counts its retransmissions.
-    if (existing && !existing->established && !existing->closed && packet.acknowledgement > 0) {
-        PooledTarget& previous = *existing->target;
-        const bool isUnresponsive = previous.reachability.lastResponse() < existing->lastPlaced;
-        if (isUnresponsive) {
-            avoid(previous, now);
-            suspect(previous, now);
-        }
-        const bool keepsTarget = !isUnresponsive && packet.acknowledgement <= maxRetransmissionsToSameTarget
-            && previous.takesNewFlows() && previous.service == service;
-        if (keepsTarget) {
-            existing->lastSeen = now;
-            decision = forwardTo(previous, ResultCode::FlowPlaced);
-        } else {
-            decision = placeFlow(packet, service, &previous, now);
-            if (decision.action == SteeringAction::Forward) {
-                decision.code = ResultCode::FlowPlacedAgain;
-                ++counters.placedAgain;
-            }
-        }
-    } else {
-        decision = placeFlow(packet, service, nullptr, now);
-    }
-    decision.route = route->name;
-    decision.retransmission = packet.acknowledgement;
-    return decision;
+    const auto found = pool.all().find(id);
+    return found == pool.all().end() ? nullptr : found->second.get();
 }
 
 SteeringDecision CookieSteering::Implementation::handleSubsequentPacket(const FlowPacket& packet, TimePoint now)
@@ -254,7 +104,7 @@
     if (observation == FlowObservation::Responded)
         markResponsive(*target, now);
     else if (observation == FlowObservation::Retransmitted || isReported)
-        suspect(*target, now);
+        reachability.suspect(*target, now);
     // Data sent to an unreachable target is lost. A reset lets the client retry an idempotent request at once.
     if (target->reachability.isUnreachable() && packet.payloadBytes > 0 && isIdempotent(packet.flow))
         return refuseUnreachable(packet, *target);
@@ -283,54 +133,35 @@
 
 SteeringDecision CookieSteering::handlePacket(const FlowPacket& packet, TimePoint now)
 {
-    return packet.isFirst() ? m_implementation->handleFirstPacket(packet, now)
+    return packet.isFirst() ? m_implementation->firstPackets.handle(packet, now)
                             : m_implementation->handleSubsequentPacket(packet, now);
 }
 
 std::vector<ProbeRequest> CookieSteering::takeProbes(TimePoint now)
 {
-    Implementation& self = *m_implementation;
-    self.pruneSuspects();
-    std::vector<ProbeRequest> requests;
-    for (PooledTarget* target : self.suspects) {
-        if (!target->reachability.isProbeDue(now))
-            continue;
-        const PooledTarget* reference = target->reachability.wantsReference() ? self.findReference(*target) : nullptr;
-        const ProbePlan plan = target->reachability.takeProbe(reference != nullptr);
-        ProbeRequest request { target->id, target->endpoint, plan.timeout, std::nullopt };
-        if (plan.needsReference)
-            request.reference = reference->endpoint;
-        requests.push_back(std::move(request));
-        ++self.counters.probes;
-    }
+    std::vector<ProbeRequest> requests = m_implementation->reachability.takeProbes(now);
+    m_implementation->counters.probes += requests.size();
     return requests;
 }
 
 bool CookieSteering::handleProbeOutcome(const std::string& id, ProbeOutcome outcome, TimePoint now)
 {
-    const auto found = m_implementation->pool.all().find(id);
-    if (found == m_implementation->pool.all().end())
-        return false;
-    PooledTarget& target = *found->second;
-    const bool isChanged = target.reachability.recordOutcome(outcome, now);
-    // A network partition usually isolates a whole data centre, so its other targets are probed too.
-    if (isChanged && target.reachability.isUnreachable() && outcome == ProbeOutcome::NoAnswer)
-        m_implementation->suspectDataCentre(target, now);
-    return isChanged;
+    PooledTarget* target = m_implementation->findTarget(id);
+    return target && m_implementation->reachability.handleOutcome(*target, outcome, now);
 }
 
 std::vector<FlowReset> CookieSteering::takeResets(const std::string& id)
 {
     std::vector<FlowReset> resets;
-    const auto found = m_implementation->pool.all().find(id);
-    if (found == m_implementation->pool.all().end() || !found->second->reachability.isUnreachable())
+    const PooledTarget* target = m_implementation->findTarget(id);
+    if (!target || !target->reachability.isUnreachable())
         return resets;
     const auto isIdempotent = [this](const FlowId& flow) { return m_implementation->isIdempotent(flow); };
-    for (const auto& [flow, acknowledgement] : m_implementation->flows.closePending(*found->second, isIdempotent)) {
+    for (const auto& [flow, acknowledgement] : m_implementation->flows.closePending(*target, isIdempotent)) {
         FlowPacket packet;
         packet.flow = flow;
         packet.acknowledgement = acknowledgement;
-        resets.push_back({ packet, m_implementation->refuseUnreachable(packet, *found->second) });
+        resets.push_back({ packet, m_implementation->refuseUnreachable(packet, *target) });
     }
     return resets;
 }
@@ -358,7 +189,7 @@
     self.flows.expire(idle, self.options.maxFlowAge, now);
     self.pool.expireReports(now);
     // The state of every flow is younger than this, so none refers to a removed target.
-    self.pruneSuspects();
+    self.reachability.prune();
     self.pool.purgeGone(2 * self.options.maxFlowAge, now);
 }
 
