Read the kind of upload routes, and define where the control of overload is switched on

Cause: the control of overload is for deployments whose clients send large requests; without the kind of a route an entry host cannot tell them from others.

--- a/src/include/bergamotroute/routing_document.h
+++ b/src/include/bergamotroute/routing_document.h
@@ -22,8 +22,16 @@
     NonIdempotent,
     /// Idempotent, with a large response.
     Download,
+    /// Non-idempotent, with a large request.
+    Upload,
 };
 
+/// @return true if the client may send a request again that may have run.
+constexpr bool isIdempotent(RequestKind kind)
+{
+    return kind == RequestKind::Idempotent || kind == RequestKind::Download;
+}
+
 /// A service of a route; its share of new flows is its weight divided by the sum of all weights.
 struct WeightedService {
     std::string service;
@@ -52,6 +60,9 @@
     std::vector<std::string> services;
     /// Idle time after which the state of a flow may be removed; zero if the document sets no limit.
     Duration idleTimeout { 0 };
+
+    /// @return true if clients of any route send large requests, which fill a small link of an entry host.
+    bool hasUploads() const;
 };
 
 /// Parses documents in an operator's own format.
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -69,7 +69,7 @@
 bool CookieSteering::Implementation::isIdempotent(const FlowId& flow) const
 {
     const Route* route = routes.find(flow.serviceAddress, flow.servicePort);
-    return route && route->kind != RequestKind::NonIdempotent;
+    return route && bergamotroute::isIdempotent(route->kind);
 }
 
 PooledTarget* CookieSteering::Implementation::findTarget(const std::string& id) const
--- a/src/libbergamot/cookie/routing_document.cpp
+++ b/src/libbergamot/cookie/routing_document.cpp
@@ -1,5 +1,6 @@
 #include "bergamotroute/routing_document.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace bergamotroute {
@@ -14,6 +15,12 @@
 
 }
 
+bool RoutingDocument::hasUploads() const
+{
+    return std::any_of(
+        routes.begin(), routes.end(), [](const Route& route) { return route.kind == RequestKind::Upload; });
+}
+
 bool RouteTable::install(RoutingDocument document)
 {
     if (document.version <= m_document.version)
--- a/src/libbergamot/cookie/routing_record.cpp
+++ b/src/libbergamot/cookie/routing_record.cpp
@@ -36,7 +36,7 @@
 
     bool readRoute(const schema::RoutingTable& table, const schema::RouteRecord& record, Route& route)
     {
-        if (record.kind() > static_cast<std::uint32_t>(RequestKind::Download) || record.port() > UINT16_MAX)
+        if (record.kind() > static_cast<std::uint32_t>(RequestKind::Upload) || record.port() > UINT16_MAX)
             return false;
         route.name = record.name();
         route.address = record.address();
