Report a command as not run when none of its bytes were sent, and start no request that cannot be answered in time

Cause: bergamotctl started a last request just before its time limit and cut it off, and any request that was cut off counted as one that may have run. Change: the client counts the bytes handed to the network, and a further request starts only with 100 ms left. A request whose bytes were sent and whose answer was lost is still reported as unknown.

--- a/src/bergamotctl/http_client.cpp
+++ b/src/bergamotctl/http_client.cpp
@@ -3,6 +3,7 @@
 #include "bergamotroute/result_code.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 
@@ -15,12 +16,19 @@
         HttpAnswer answer;
         bool isDone = false;
         bool hasFailed = false;
+        /// At least one byte of the request has been handed to the network.
+        bool hasSent = false;
     };
 
     void onDeadline(evutil_socket_t, short, void* base) { event_base_loopbreak(static_cast<event_base*>(base)); }
 
     void onError(evhttp_request_error, void* context) { static_cast<Exchange*>(context)->hasFailed = true; }
 
+    void onOutputChanged(evbuffer*, const evbuffer_cb_info* change, void* context)
+    {
+        static_cast<Exchange*>(context)->hasSent |= change->n_deleted > 0;
+    }
+
     void readAnswer(evhttp_request& request, HttpAnswer& answer)
     {
         answer.status = evhttp_request_get_response_code(&request);
@@ -42,7 +50,7 @@
         } else {
             exchange.answer.error = ResultCode::ConnectionLost;
             // evhttp reports a failed connect with a request without status and without a call of the error handler.
-            exchange.answer.isNotConnected = request != nullptr && !exchange.hasFailed;
+            exchange.answer.isNotSent = request != nullptr && !exchange.hasFailed;
         }
         event_base_loopbreak(exchange.base);
     }
@@ -79,12 +87,14 @@
     const std::string address = request.endpoint.address.toString();
     evhttp_connection* connection
         = evhttp_connection_base_new(m_base.get(), nullptr, address.c_str(), request.endpoint.port);
+    bufferevent* stream = evhttp_connection_get_bufferevent(connection);
+    evbuffer_add_cb(bufferevent_get_output(stream), onOutputChanged, &exchange);
     const bool isPost = request.isPost || !request.body.empty();
     evhttp_request* made = makeRequest(request, exchange);
     if (evhttp_make_request(connection, made, isPost ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, request.path.c_str()) != 0) {
         exchange.isDone = true;
         exchange.answer.error = ResultCode::ConnectionLost;
-        exchange.answer.isNotConnected = true;
+        exchange.answer.isNotSent = true;
     }
     const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(request.timeout).count();
     const timeval limit { microseconds / 1'000'000, microseconds % 1'000'000 };
@@ -94,6 +104,7 @@
         event_base_dispatch(m_base.get());
     event_free(timer);
     if (!exchange.isDone) {
+        exchange.answer.isNotSent = !exchange.hasSent;
         evhttp_cancel_request(made);
         exchange.answer.error = ResultCode::DeadlineExceeded;
     }
--- a/src/bergamotctl/http_client.h
+++ b/src/bergamotctl/http_client.h
@@ -34,8 +34,8 @@
     std::string body;
     /// Header Bergamot-Lease; empty if absent.
     std::string lease;
-    /// True if the connection was never made, so that the request cannot have run.
-    bool isNotConnected = false;
+    /// No byte of the request was sent, so it cannot have run.
+    bool isNotSent = false;
     /// ConnectionLost or DeadlineExceeded without an answer.
     std::error_code error;
 };
--- a/src/bergamotctl/session.cpp
+++ b/src/bergamotctl/session.cpp
@@ -126,12 +126,15 @@
 
 bool Session::isJson() const { return FLAGS_format == "json"; }
 
+std::chrono::milliseconds Session::timeLeft() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - std::chrono::steady_clock::now());
+}
+
 std::chrono::milliseconds Session::requestTimeout() const
 {
-    const auto left
-        = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - std::chrono::steady_clock::now());
     const std::chrono::milliseconds limit(m_settings.request_timeout_ms());
-    return std::clamp(left, std::chrono::milliseconds(1), limit);
+    return std::clamp(timeLeft(), std::chrono::milliseconds(1), limit);
 }
 
 HttpRequest Session::makeRequest(const std::string& endpoint, const std::string& path) const
--- a/src/bergamotctl/session.h
+++ b/src/bergamotctl/session.h
@@ -101,10 +101,12 @@
     ExitStatus waitInForce(std::uint64_t revision);
 
     bool isJson() const;
-    bool isPastDeadline() const { return std::chrono::steady_clock::now() >= m_deadline; }
+    bool isPastDeadline() const { return timeLeft().count() <= 0; }
     std::ostream& out() { return m_out; }
     std::ostream& err() { return m_err; }
     const schema::OperatorToolSettings& settings() const { return m_settings; }
+    /// @return time until the deadline of the whole command; negative after it.
+    std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds requestTimeout() const;
 
     /// Status of the last failed readConfiguration().
--- a/src/bergamotctl/session_commands.cpp
+++ b/src/bergamotctl/session_commands.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <json/json.h>
 #include <thread>
+#include <utility>
 
 namespace bergamotroute {
 
@@ -14,6 +15,8 @@
 
     constexpr std::chrono::milliseconds pauseBetweenRounds { 200 };
     constexpr std::chrono::milliseconds pauseBetweenPolls { 100 };
+    /// A further request with less time than this would be cut off before its answer, and its outcome would be unknown.
+    constexpr std::chrono::milliseconds minRequestTime { 100 };
 
     /// The schema's JSON prints 64-bit numbers as strings, which the strict reader of the hosts refuses.
     std::string encodeCommand(const schema::Command& command)
@@ -48,7 +51,7 @@
     request.body = body;
     const HttpAnswer answer = m_client.send(request);
     if (answer.status == 0) {
-        attempt.mayHaveRun |= !answer.isNotConnected;
+        attempt.mayHaveRun |= !answer.isNotSent;
         attempt.lastFault = endpoint + ": " + answer.error.message();
         return false;
     }
@@ -86,12 +89,15 @@
     }
     const std::string body = encodeCommand(command);
     Attempt attempt;
+    bool isFirst = true;
     while (!attempt.isDefinite) {
         for (const schema::OperatorEndpoint& host : m_settings.control_hosts()) {
+            if (!std::exchange(isFirst, false) && timeLeft() < minRequestTime)
+                break;
             if (tryCommand(host.endpoint(), body, attempt))
                 break;
         }
-        if (attempt.isDefinite || isPastDeadline())
+        if (attempt.isDefinite || timeLeft() < pauseBetweenRounds + minRequestTime)
             break;
         std::this_thread::sleep_for(pauseBetweenRounds);
     }
