Define the interface between the packet path and the control of overload

The link's state goes from the packet path to the decisions, and first packets that wait are decided again through takeReleases(). Nothing sets the state or tells a flow to wait yet, so behaviour is unchanged.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -16,6 +16,7 @@
     /// Fraction of the grace period during which a stopping host keeps forwarding.
     constexpr double forwardingFraction = 0.75;
     constexpr Duration maxForwardingTime { 4500 };
+    constexpr double bytesPerMegabit = 1e6 / 8;
 
     Endpoint parseEndpoint(const std::string& text)
     {
@@ -48,6 +49,7 @@
         options.dataCentre = settings.data_centre();
         options.targetNumberOf = targetNumber;
         options.maxFlowAge = toDuration(settings.longest_flow_seconds());
+        options.linkBytesPerSecond = settings.link_mbps() * bytesPerMegabit;
         return options;
     }
 
--- a/src/bergamot-entry/packet_path.cpp
+++ b/src/bergamot-entry/packet_path.cpp
@@ -141,6 +141,7 @@
         ++m_counters.dropped;
         break;
     case SteeringAction::Drop:
+    case SteeringAction::Wait:
         ++m_counters.dropped;
         break;
     }
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -7,6 +7,7 @@
 
 #include "bergamotroute/clock.h"
 #include "bergamotroute/flow_packet.h"
+#include "bergamotroute/link_state.h"
 #include "bergamotroute/result_code.h"
 #include "bergamotroute/routing_document.h"
 #include "bergamotroute/target_registry.h"
@@ -31,6 +32,8 @@
     /// Age at which the state of a flow may be removed.
     Duration maxFlowAge { 60'000 };
     std::size_t flowCapacity = 65'536;
+    /// Capacity of this host's link in bytes per second; zero if unknown, in which case overload is not controlled.
+    double linkBytesPerSecond = 0;
 };
 
 /// What to do with a packet.
@@ -41,6 +44,8 @@
     Drop,
     /// Decide again when the registry or the routing document changes: this host does not know enough yet.
     Hold,
+    /// Keep the first packet until takeReleases() decides on its flow: the host has no room for the flow at present.
+    Wait,
 };
 
 /// Outcome of a connection that is opened only to test whether a target listens.
@@ -83,6 +88,12 @@
     std::uint32_t retransmission = 0;
 };
 
+/// Decision on a flow whose first packet was told to wait.
+struct FlowRelease {
+    FlowPacket packet;
+    SteeringDecision decision;
+};
+
 /// A flow that is reset without a packet of its client.
 struct FlowReset {
     FlowPacket packet;
@@ -138,6 +149,20 @@
     /// @return the load that this host observes; each call takes the next sequence number.
     schema::TargetLoadReport makeReport();
 
+    /// @return true if this host controls overload: its link's capacity is known and the document in force has a route
+    /// with large requests.
+    bool controlsOverload() const;
+
+    /// Applies the state of this host's link.
+    void setLinkState(const LinkState& state);
+
+    /// @return decisions on waiting flows that are due: each is placed now, or refused because it has waited for as long
+    /// as it may. Views in the result are valid until the next call.
+    std::vector<FlowRelease> takeReleases(TimePoint now);
+
+    /// @return the time at which takeReleases() is due at the latest, or nothing if no flow waits.
+    std::optional<TimePoint> nextRelease() const;
+
     /// Removes expired flows, reports and targets; to be called a few times per second.
     void advance(TimePoint now);
 
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -53,6 +53,7 @@
     Placement placement;
     ReachabilityMonitor reachability;
     SteeringCounters counters;
+    LinkState linkState;
     FirstPacketSteering firstPackets;
     std::uint64_t reportSequence = 0;
 };
@@ -181,6 +182,17 @@
     return report;
 }
 
+bool CookieSteering::controlsOverload() const
+{
+    return m_implementation->options.linkBytesPerSecond > 0 && m_implementation->routes.document().hasUploads();
+}
+
+void CookieSteering::setLinkState(const LinkState& state) { m_implementation->linkState = state; }
+
+std::vector<FlowRelease> CookieSteering::takeReleases(TimePoint) { return {}; }
+
+std::optional<TimePoint> CookieSteering::nextRelease() const { return std::nullopt; }
+
 void CookieSteering::advance(TimePoint now)
 {
     Implementation& self = *m_implementation;
