Split the design page into an overview and one note for each part

The chapters on flow steering, targets, configuration, membership and house style become notes under docs/design/; no fact is changed or dropped. Comments name a note and its heading instead of a section number.

--- a/src/bench/flow_experiment.cpp
+++ b/src/bench/flow_experiment.cpp
@@ -167,7 +167,7 @@
 
     bool printBroken(const Case& experiment, const std::string& prefix, const Outcome& outcome)
     {
-        // Two simultaneous deaths may lose the records that only these two hosts held (docs/design.md, 5.18).
+        // Two simultaneous deaths may lose the records that only these two hosts held (docs/design/flow_steering.md).
         const bool isBounded = std::string(experiment.name) != "two_hosts_die";
         const Json::Value target = isBounded ? Json::Value(0) : Json::Value();
         if (!FLAGS_baselines)
--- a/src/bergamotd/entry_http.cpp
+++ b/src/bergamotd/entry_http.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// HTTP interfaces of bergamotd: operators and announcements (docs/design.md, section 11).
+/// HTTP interfaces of bergamotd: operators and announcements (docs/design.md, "Operators").
 
 #include "bergamotd/entry_daemon.h"
 #include "libbergamotio/json_schema.h"
--- a/src/include/bergamotroute/bucket_table.h
+++ b/src/include/bergamotroute/bucket_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Assignment of a service's hash buckets to targets. See docs/design.md, section 5.
+/// Assignment of a service's hash buckets to targets. See docs/design/flow_steering.md.
 
 #include "bergamotroute/types.h"
 
--- a/src/include/bergamotroute/flow_prober.h
+++ b/src/include/bergamotroute/flow_prober.h
@@ -34,8 +34,8 @@
     std::vector<std::byte> packet;
 };
 
-/// Probes idle TCP flows whose buckets this host owns, and ends those whose probes stay unanswered. docs/design.md,
-/// section 5.19.
+/// Probes idle TCP flows whose buckets this host owns, and ends those whose probes stay unanswered. See
+/// docs/design/flow_steering.md, "Silent flows".
 class FlowProber {
 public:
     virtual ~FlowProber() = default;
--- a/src/libbergamot/steering/hint_queue.h
+++ b/src/libbergamot/steering/hint_queue.h
@@ -2,7 +2,7 @@
 
 /// @file
 /// Hints that tell a relaying host the target of a flow, so that it forwards later packets of the flow by itself.
-/// See docs/design.md, section 5.14.
+/// See docs/design/flow_steering.md, "Hints".
 
 #include "steering/control_sender.h"
 #include "steering/flow_cache.h"
--- a/src/libbergamot/steering/packet_path.h
+++ b/src/libbergamot/steering/packet_path.h
@@ -1,8 +1,7 @@
 #pragma once
 
 /// @file
-/// Forwards, relays, refuses or drops each caller's packet. See docs/design.md, sections 5.3 to 5.7, 5.13, 5.15
-/// and 5.17.
+/// Forwards, relays, refuses or drops each caller's packet. See docs/design/flow_steering.md.
 
 #include "steering/hint_queue.h"
 #include "steering/record_transfer.h"
--- a/src/libbergamot/steering/record_transfer.h
+++ b/src/libbergamot/steering/record_transfer.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// Sends flow records to new owners and backups within the control budget. See docs/design.md, section 5.11.
+/// Sends flow records to new owners and backups within the control budget. See
+/// docs/design/flow_steering.md, "Owner change".
 
 #include "steering/steering_state.h"
 
--- a/src/libbergamot/steering/table_distribution.h
+++ b/src/libbergamot/steering/table_distribution.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// Plans, publishes, requests and acknowledges bucket tables. See docs/design.md, sections 5.6 to 5.10.
+/// Plans, publishes, requests and acknowledges bucket tables. See docs/design/flow_steering.md from
+/// "Two-phase table change" to "End of a move".
 
 #include "steering/steering_state.h"
 
--- a/src/libbergamot/steering/view_changes.cpp
+++ b/src/libbergamot/steering/view_changes.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// View changes: join and leave of hosts, and change of bucket owners. See docs/design.md, sections 5.11 and 5.17.
+/// View changes: join and leave of hosts, and change of bucket owners. See
+/// docs/design/flow_steering.md, "Owner change" and "Start in the middle of traffic".
 
 #include "steering/steering.h"
 
