--- a/src/bergamotctl/check_command.cpp
+++ b/src/bergamotctl/check_command.cpp
@@ -1,4 +1,4 @@
-// check: what is wrong with the deployment.
+// The command "check", which lists the faults of a deployment.
 
 #include "bergamotctl/commands.h"
 
--- a/src/bergamotctl/session.h
+++ b/src/bergamotctl/session.h
@@ -57,7 +57,7 @@
     Session(std::ostream& output, std::ostream& errors);
 
     /// Reads settings and token as the flags say.
-    /// @return false after printing what is wrong.
+    /// @return false if they are invalid; the error has been printed.
     bool open();
 
     /// Starts the time limit of a command again.
--- a/src/bergamotd/configuration_exchange.cpp
+++ b/src/bergamotd/configuration_exchange.cpp
@@ -11,9 +11,9 @@
     constexpr Duration pollWait { 5000 };
     constexpr Duration pollDeadline { 8000 };
     constexpr Duration retryDelay { 300 };
-    /// A little longer than the deadline of a poll, so one answered poll keeps neighbours unasked.
+    /// Longer than the deadline of a poll, so that peers are not asked while a control host responds.
     constexpr Duration controlSilence { 9000 };
-    constexpr Duration neighbourPollInterval { 1000 };
+    constexpr Duration peerPollInterval { 1000 };
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusBadRequest = 400;
 
@@ -45,7 +45,7 @@
         return error;
     for (const Endpoint& endpoint : m_options.controlHosts)
         addSource(endpoint, true);
-    for (const Endpoint& endpoint : m_options.neighbours)
+    for (const Endpoint& endpoint : m_options.peers)
         addSource(endpoint, false);
     return {};
 }
@@ -55,14 +55,14 @@
     m_sources.push_back(std::make_unique<Source>(m_loop, endpoint, isControlHost));
     Source& source = *m_sources.back();
     source.retry = std::make_unique<Timer>(m_loop, [this, &source] { poll(source); });
-    source.retry->start(isControlHost ? Duration(0) : neighbourPollInterval);
+    source.retry->start(isControlHost ? Duration(0) : peerPollInterval);
 }
 
 void ConfigurationExchange::poll(Source& source)
 {
     const bool controlAnswers = m_loop.now() - m_lastControlAnswer < controlSilence;
     if (!source.isControl && controlAnswers) {
-        source.retry->start(neighbourPollInterval);
+        source.retry->start(peerPollInterval);
         return;
     }
     schema::ConfigurationRequest request;
@@ -85,7 +85,7 @@
     const bool isNewer = answer.has_configuration() && answer.configuration().revision() > m_current().revision();
     if (isNewer && answer.committed())
         m_received(answer.configuration());
-    // A pause after an answer without news keeps a source that never waits from using the control budget.
+    // Without the delay, a source that responds at once without a newer revision would use up the control budget.
     source.retry->start(isNewer ? Duration(0) : retryDelay);
 }
 
--- a/src/bergamotd/configuration_exchange.h
+++ b/src/bergamotd/configuration_exchange.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// Fetches accepted configurations by RPC from control hosts and neighbours, and gives them to neighbours.
+/// Fetches accepted configurations by RPC from control hosts and from other entry hosts ("peers"), and serves them to
+/// peers.
 
 #include "libbergamotio/event_loop.h"
 #include "libbergamotio/rpc_client.h"
@@ -17,16 +18,16 @@
 
 namespace bergamotroute {
 
-/// Who gets and gives configurations.
+/// Endpoints between which configurations are exchanged.
 struct ConfigurationExchangeOptions {
     std::string host;
     std::vector<Endpoint> controlHosts;
     /// RPC endpoints of the other entry hosts.
-    std::vector<Endpoint> neighbours;
+    std::vector<Endpoint> peers;
     Endpoint listen;
 };
 
-/// One long poll to each control host at a time; neighbours are asked only while no control host answers.
+/// One long poll to each control host at a time; peers are asked only while no control host responds.
 class ConfigurationExchange {
 public:
     /// @param current returns the configuration in force.
@@ -38,7 +39,7 @@
     /// Listens and starts to poll.
     std::error_code start();
 
-    /// Answers the neighbours that wait for a newer revision.
+    /// Responds to the peers that wait for a newer revision.
     void revisionChanged();
 
 private:
--- a/src/bergamotd/entry_daemon.cpp
+++ b/src/bergamotd/entry_daemon.cpp
@@ -132,7 +132,7 @@
         options.controlHosts.push_back(parseEndpoint(endpoint));
     for (const schema::PeerSettings& peer : m_settings.peers()) {
         if (peer.host() != m_settings.host())
-            options.neighbours.push_back(parseEndpoint(peer.endpoint()));
+            options.peers.push_back(parseEndpoint(peer.endpoint()));
     }
     m_exchange = std::make_unique<ConfigurationExchange>(
         m_loop, std::move(options), [this]() -> const schema::Configuration& { return m_host.configuration(); },
--- a/src/bergamotd/settings_check.h
+++ b/src/bergamotd/settings_check.h
@@ -9,7 +9,7 @@
 
 namespace bergamotroute {
 
-/// @return what is wrong, or an empty text.
+/// @return the error message, or an empty text if there is none.
 std::string findSettingsClash(const schema::EntryHostSettings& settings);
 
 }
--- a/src/libbergamotio/json_schema.h
+++ b/src/libbergamotio/json_schema.h
@@ -14,7 +14,7 @@
 /// A fault in an input file, with its place.
 struct InputError {
     std::error_code code;
-    /// "file:line: key: what is wrong"; empty without error.
+    /// In the form "file:line: key: fault"; empty if there is no error.
     std::string message;
 
     explicit operator bool() const { return static_cast<bool>(code); }
--- a/src/libbergamotio/quorum_host.h
+++ b/src/libbergamotio/quorum_host.h
@@ -59,7 +59,7 @@
     /// @param handler called once; true if what this host has applied is the newest accepted state.
     void confirmRead(std::function<void(bool)> handler);
 
-    /// @return true if a leader, or as leader a majority, was heard within a time.
+    /// @return true if this host has received a message from the leader, or as leader from a majority, within a time.
     bool hasRecentQuorum(Duration within) const;
 
     const QuorumLog& log() const { return *m_log; }
--- a/src/libbergamotio/rpc_server.h
+++ b/src/libbergamotio/rpc_server.h
@@ -44,8 +44,8 @@
     RpcServer(const RpcServer&) = delete;
     RpcServer& operator=(const RpcServer&) = delete;
 
-    /// Starts to listen.
-    /// @param endpoint port 0 takes a free port.
+    /// Opens the listener.
+    /// @param endpoint if its port is 0, the system chooses a free one.
     /// @return ResultCode::AddressUnavailable if the address cannot be bound.
     std::error_code listen(const Endpoint& endpoint);
 
