Decode the path of a request and recognize a client that has left

Cause: names in paths may be percent-encoded, and a request that waited in a frozen process may be older than a later one of the same caller. Change: HttpExchange gets decodedPath() and hasClientLeft(), which looks at the socket, because the event loop handles the request before the end of its connection. Tested: libbergamotio_test, with new cases for both; a POST without a body reaches the route of its path prefix with and without a stated length and with the connection kept open.

--- a/src/libbergamotio/http_server.cpp
+++ b/src/libbergamotio/http_server.cpp
@@ -5,6 +5,7 @@
 #include "libbergamotio/log.h"
 #include "libbergamotio/socket_address.h"
 
+#include <cstdlib>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -12,6 +13,7 @@
 #include <event2/keyvalq_struct.h>
 #include <fstream>
 #include <json/json.h>
+#include <sys/socket.h>
 
 namespace bergamotroute {
 
@@ -116,6 +118,23 @@
     return value == nullptr ? "" : value;
 }
 
+std::string HttpExchange::decodedPath() const
+{
+    std::size_t length = 0;
+    const std::unique_ptr<char, decltype(&std::free)> decoded(evhttp_uridecode(m_path.c_str(), 0, &length), &std::free);
+    return decoded ? std::string(decoded.get(), length) : m_path;
+}
+
+bool HttpExchange::hasClientLeft() const
+{
+    if (m_request == nullptr)
+        return true;
+    evhttp_connection* connection = evhttp_request_get_connection(m_request);
+    const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    char byte = 0;
+    return recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void HttpExchange::handleClose(evhttp_connection*, void* exchange)
 {
     auto* self = static_cast<HttpExchange*>(exchange);
--- a/src/libbergamotio/http_server.h
+++ b/src/libbergamotio/http_server.h
@@ -49,6 +49,8 @@
 
     const std::string& method() const { return m_method; }
     const std::string& path() const { return m_path; }
+    /// @return the path with its percent-encoded characters decoded (RFC 3986).
+    std::string decodedPath() const;
     const std::string& body() const { return m_body; }
     const IpAddress& source() const { return m_source; }
 
@@ -61,6 +63,10 @@
     /// @return true once the client has closed the connection.
     bool isClosed() const { return m_request == nullptr; }
 
+    /// Checks whether the client has already closed its side of the connection. Unlike isClosed() it does not depend on
+    /// the event loop, which handles the request before the end of the connection when both wait to be read.
+    bool hasClientLeft() const;
+
     /// Calls the handler when the client closes before the end of the answer.
     void onClosed(std::function<void()> handler) { m_closed = std::move(handler); }
 
--- a/src/libbergamotio/http_test.cpp
+++ b/src/libbergamotio/http_test.cpp
@@ -3,7 +3,9 @@
 #include "libbergamotio/http_server.h"
 #include "libbergamotio/socket_address.h"
 
+#include <array>
 #include <doctest/doctest.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace bergamotroute;
@@ -88,3 +90,69 @@
     CHECK(closed);
     CHECK(kept->isClosed());
 }
+
+namespace {
+
+/// Sends raw bytes to a server.
+/// @param leaves close the connection before the server reads the request.
+/// @return the first bytes of the answer.
+std::string exchangeBytes(EventLoop& loop, const HttpServer& server, const std::string& bytes, bool leaves = false)
+{
+    const SocketAddress address = toSocketAddress(server.local());
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(::connect(socket, address.get(), address.length) == 0);
+    REQUIRE(::send(socket, bytes.data(), bytes.size(), 0) == static_cast<ssize_t>(bytes.size()));
+    if (leaves)
+        ::shutdown(socket, SHUT_WR);
+    std::string answer;
+    ReadWatch watch(loop, socket, [&] {
+        std::array<char, 256> buffer {};
+        const ssize_t count = ::recv(socket, buffer.data(), buffer.size(), 0);
+        answer.assign(buffer.data(), count > 0 ? static_cast<std::size_t>(count) : 0);
+        loop.stop();
+    });
+    Timer end(loop, [&] { loop.stop(); });
+    end.start(Duration(500));
+    loop.run();
+    ::close(socket);
+    return answer;
+}
+
+}
+
+TEST_CASE("a POST without a body reaches the route of its path prefix, with the path decoded")
+{
+    // Guards against an order that is answered with an error because its caller states no length or keeps the
+    // connection open.
+    EventLoop loop;
+    HttpServer server(loop);
+    REQUIRE_FALSE(server.listen(freePort()));
+    std::string path;
+    server.route("POST", "/orders/", HttpAccess::Open, [&](const std::shared_ptr<HttpExchange>& exchange) {
+        path = exchange->decodedPath();
+        exchange->reply(HttpStatus::Ok, "");
+    });
+    for (const char* headers : { "", "Content-Length: 0\r\n", "Connection: keep-alive\r\n", "Connection: close\r\n" }) {
+        path.clear();
+        const std::string head = std::string("POST /orders/hall%202 HTTP/1.1\r\nHost: x\r\n") + headers + "\r\n";
+        CHECK(exchangeBytes(loop, server, head).starts_with("HTTP/1.1 200"));
+        CHECK(path == "/orders/hall 2");
+    }
+}
+
+TEST_CASE("a request whose client has already left is recognized when it is handled")
+{
+    // Guards against an order that waited in a frozen process and takes effect after its caller has given up.
+    EventLoop loop;
+    HttpServer server(loop);
+    REQUIRE_FALSE(server.listen(freePort()));
+    std::vector<bool> left;
+    server.route("POST", "/orders/", HttpAccess::Open, [&](const std::shared_ptr<HttpExchange>& exchange) {
+        left.push_back(exchange->hasClientLeft());
+        exchange->reply(HttpStatus::Ok, "");
+    });
+    const std::string head = "POST /orders/a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+    exchangeBytes(loop, server, head);
+    exchangeBytes(loop, server, head, true);
+    CHECK(left == std::vector<bool> { false, true });
+}
