Define the calls of evacuations in the operators' interface

OperatorProtocol gets the path prefix, the name of the data centre in a path, and the body of the response; the platform's paths stay in platform/.

--- a/src/include/bergamotroute/operator_protocol.h
+++ b/src/include/bergamotroute/operator_protocol.h
@@ -25,6 +25,14 @@
     /// @return path in front of a target's id, with a trailing slash (PUT for a heartbeat, DELETE for a leave).
     virtual std::string targetPathPrefix() const = 0;
 
+    /// @return path in front of the name of a data centre, with a trailing slash (POST to evacuate it, DELETE to
+    /// withdraw the evacuation).
+    virtual std::string evacuationPathPrefix() const = 0;
+
+    /// @param path decoded path of a call below evacuationPathPrefix().
+    /// @return the name of the data centre, or nothing if the path does not name one.
+    virtual std::optional<std::string> readEvacuatedDataCentre(std::string_view path) const = 0;
+
     virtual const DocumentReader& documentReader() const = 0;
 
     /// @param id from the path.
@@ -39,6 +47,9 @@
     /// @return body of the response to a heartbeat.
     virtual std::string heartbeatResponse() const = 0;
 
+    /// @return body of the response to an order or withdrawal of an evacuation that is in force.
+    virtual std::string evacuationResponse() const = 0;
+
     /// @return body of an error response.
     virtual std::string errorResponse(std::string_view message) const = 0;
 };
