Take orders and withdrawals of evacuations on control hosts and pass the list to entry hosts

Cause: control hosts answered these calls with 404. Change: the leader submits each call as a command and answers once it is committed; other hosts redirect, and an unknown outcome or a missing leader is 503. A data centre that nobody has named is 400, and only after a majority has confirmed that this host knows the newest state. A call whose caller has left is dropped. EntrySync sends the list when its revision is higher than the entry host's; without an order no byte is added. GET /evacuations and POST and DELETE /evacuations/NAME on the metrics listener serve bergamotctl. Log lines and metrics show each step. Tested: three control hosts on loopback with calls to each of them, repeated, redirected, unknown, without a body.

--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -105,6 +105,7 @@
     , m_quorum(loop, makeOptions(m_settings))
     , m_replicator(loop, m_registry, makeRecord(m_settings))
     , m_entrySync(loop, m_quorum, m_registry, m_replicator)
+    , m_evacuations(loop, m_quorum, m_replicator, m_registry, m_settings, m_protocol)
     , m_rpcServer(loop)
     , m_operatorServer(loop)
     , m_metricsServer(loop)
@@ -123,6 +124,7 @@
         const schema::Document& document = m_quorum.log().configuration().document();
         writeLog(LogLevel::Info, ResultCode::DocumentInForce, "document in force",
             { { "version", std::to_string(document.version()) } });
+        m_evacuations.handleConfiguration();
         m_entrySync.notify();
     });
 }
@@ -175,6 +177,7 @@
     add("GET", m_protocol.documentPath(), &DirectoryDaemon::getDocument);
     add("PUT", m_protocol.targetPathPrefix(), &DirectoryDaemon::putTarget);
     add("DELETE", m_protocol.targetPathPrefix(), &DirectoryDaemon::deleteTarget);
+    m_evacuations.serveOperators(m_operatorServer);
     if (!listen(m_operatorServer, m_settings.operator_listen()))
         return error;
     if (m_settings.metrics_port() == 0)
@@ -182,6 +185,7 @@
     m_metricsServer.route("GET", "/metrics", HttpAccess::Open, [this](const ExchangePointer& exchange) {
         exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
     });
+    m_evacuations.serveTool(m_metricsServer);
     listen(m_metricsServer, rpcEndpoint(m_settings.address(), m_settings.metrics_port()));
     return error;
 }
@@ -218,6 +222,7 @@
     m_replicator.setIdentity(m_quorum.identity());
     changeMembers();
     logQuorumContact();
+    m_evacuations.advance();
     m_checkTimer.start(checkInterval);
 }
 
--- a/src/bergamot-directory/directory_daemon.h
+++ b/src/bergamot-directory/directory_daemon.h
@@ -6,6 +6,7 @@
 
 #include "bergamot-directory/directory_replicator.h"
 #include "bergamot-directory/entry_sync.h"
+#include "bergamot-directory/evacuation_routes.h"
 #include "bergamot-directory/registry_store.h"
 #include "bergamotroute/member_policy.h"
 #include "bergamotroute/operator_protocol.h"
@@ -83,6 +84,7 @@
     QuorumHost m_quorum;
     DirectoryReplicator m_replicator;
     EntrySync m_entrySync;
+    EvacuationRoutes m_evacuations;
     MemberPolicy m_memberPolicy;
     RpcServer m_rpcServer;
     HttpServer m_operatorServer;
--- a/src/bergamot-directory/entry_sync.cpp
+++ b/src/bergamot-directory/entry_sync.cpp
@@ -1,5 +1,7 @@
 #include "bergamot-directory/entry_sync.h"
 
+#include "bergamotroute/evacuation.h"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -67,7 +69,8 @@
 bool EntrySync::hasUpdate(const schema::EntrySyncRequest& request) const
 {
     return request.seen_epoch() != m_replicator.epoch() || request.seen_change() < m_registry.lastEvent()
-        || request.document_version() < m_quorum.log().configuration().document().version();
+        || request.document_version() < m_quorum.log().configuration().document().version()
+        || request.data_centres_revision() < m_quorum.log().configuration().data_centres_revision();
 }
 
 void EntrySync::respond(const schema::EntrySyncRequest& request, const RpcReply& reply)
@@ -83,6 +86,8 @@
     const schema::Document& document = m_quorum.log().configuration().document();
     if (document.version() > request.document_version())
         response.set_routing_table(document.routing_table());
+    if (m_quorum.log().configuration().data_centres_revision() > request.data_centres_revision())
+        *response.mutable_stopped_data_centres() = listStoppedDataCentres(m_quorum.log().configuration());
     const auto entryHosts = m_replicator.entryHosts(maxHostAge);
     response.set_entry_hosts_fingerprint(fingerprintOf(entryHosts));
     if (response.entry_hosts_fingerprint() != request.seen_entry_hosts()) {
--- a/src/bergamot-directory/entry_sync.h
+++ b/src/bergamot-directory/entry_sync.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// Serves the long poll of entry hosts: the document in force, registry changes, and the lists of other hosts. A call
-/// for which there is no update waits until there is one or its wait time has passed.
+/// Serves the long poll of entry hosts: the document in force, the stopped data centres, registry changes, and the
+/// lists of other hosts. A call for which there is no update waits until there is one or its wait time has passed.
 
 #include "bergamot-directory/directory_replicator.h"
 #include "libbergamotio/quorum_host.h"
@@ -16,7 +16,8 @@
 
     void serve(RpcServer& server);
 
-    /// Responds to the pending calls for which there is an update; call it when the document or a target has changed.
+    /// Responds to the pending calls for which there is an update; call it when the document, the stopped data
+    /// centres or a target has changed.
     void notify();
 
     /// Responds to all pending calls; call it when the process stops.
--- a/src/bergamot-directory/operator_routes.cpp
+++ b/src/bergamot-directory/operator_routes.cpp
@@ -93,8 +93,8 @@
 
 void DirectoryDaemon::redirectToLeader(const ExchangePointer& exchange)
 {
-    const schema::ControlHostRecord* leader = m_replicator.findControlHost(m_quorum.log().leader());
-    if (!leader || leader->identity() == m_quorum.identity()) {
+    const schema::ControlHostRecord* leader = findOtherLeader(m_quorum, m_replicator);
+    if (!leader) {
         replyError(exchange, HttpStatus::ServiceUnavailable, "no known leader");
         return;
     }
@@ -197,6 +197,7 @@
         static_cast<double>(logCounters().dropped));
     add("log_lines_suppressed_total", "Log lines suppressed by the rate limit of their result code.",
         static_cast<double>(logCounters().suppressed));
+    m_evacuations.addMetrics(registry);
     return serializeMetrics(registry) + serializeMetrics(m_histograms);
 }
 
--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -68,6 +68,12 @@
     DocumentMalformed = 416,
     DocumentInForce = 417,
     DocumentOvertaken = 418,
+    EvacuationOrdered = 419,
+    EvacuationEnded = 420,
+    EvacuationRepeated = 421,
+    EvacuationApplied = 422,
+    EvacuationAcknowledged = 423,
+    EvacuationOfAll = 424,
 
     // 5xx: control hosts
     NotLeader = 500,
