Place no new flows at targets of evacuated data centres

Change: entry hosts apply the list of stopped data centres with the highest revision; targets there take no first packets, retransmissions, held packets or second choices, while open flows continue by cookie. Calls to control hosts carry the applied revision and the open flows there. TargetPool keeps the time of a data centre's return to service, for the limit on targets in slow start.

--- a/src/bergamot-entry/control_client.cpp
+++ b/src/bergamot-entry/control_client.cpp
@@ -51,6 +51,12 @@
     m_selector.addCandidate(endpoint, dataCentre);
 }
 
+void ControlClient::setStoppedDataCentres(std::uint64_t revision, std::uint32_t openFlows)
+{
+    m_self.set_data_centres_revision(revision);
+    m_self.set_flows_at_stopped(openFlows);
+}
+
 void ControlClient::start() { m_callTimer.start(Duration(0)); }
 
 void ControlClient::call()
@@ -116,6 +122,7 @@
     request.set_seen_epoch(m_seenEpoch);
     request.set_seen_change(m_seenChange);
     request.set_seen_entry_hosts(m_seenEntryHosts);
+    request.set_data_centres_revision(m_self.data_centres_revision());
     request.set_wait_ms(static_cast<std::uint32_t>(longPollTimeout.count()));
     m_clients.clientFor(endpoint)->call(syncPath, request.SerializeAsString(), callTimeout,
         [this, endpoint](const RpcResult& result) { handleResult(endpoint, result); });
--- a/src/bergamot-entry/control_client.h
+++ b/src/bergamot-entry/control_client.h
@@ -32,6 +32,10 @@
     /// Sets the version of the document installed on this host, which is sent with each call.
     void setDocumentVersion(std::uint64_t version) { m_documentVersion = version; }
 
+    /// Sets the revision of the applied list of stopped data centres and the number of open flows to their targets,
+    /// which are sent with each call.
+    void setStoppedDataCentres(std::uint64_t revision, std::uint32_t openFlows);
+
     /// @return time since the last response from a control host that is in contact with a majority.
     Duration viewAge() const { return m_loop.now() - m_lastQuorumResponse; }
 
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "bergamot-entry/cookie_entry_daemon.h"
 
+#include "bergamotroute/evacuation.h"
 #include "bergamotroute/routing_record.h"
 #include "libbergamotio/log.h"
 #include "libbergamotio/metrics.h"
@@ -95,6 +96,7 @@
           [this] {
               m_steering.advance(m_loop.now());
               m_registry.advance(m_loop.now());
+              reportStoppedDataCentres();
               m_checkTimer.start(checkInterval);
           })
     , m_stopTimer(loop, [this] { m_loop.stop(); })
@@ -166,6 +168,9 @@
 {
     if (!response.routing_table().empty())
         installRoutingTable(response.routing_table());
+    // Before the targets and the held packets, which must not be placed by an older list.
+    if (response.has_stopped_data_centres())
+        applyStoppedDataCentres(response.stopped_data_centres());
     for (const schema::TargetRecord& record : response.targets())
         m_registry.merge(record, false, m_loop.now());
     if (response.entry_hosts_size() > 0) {
@@ -209,6 +214,23 @@
             { "routes", std::to_string(count) } });
 }
 
+void CookieEntryDaemon::applyStoppedDataCentres(const schema::StoppedDataCentres& list)
+{
+    if (!m_steering.setStoppedDataCentres(list, m_loop.now()))
+        return;
+    reportStoppedDataCentres();
+    const StoppedDataCentreState state = m_steering.stoppedDataCentres();
+    writeLog(LogLevel::Info, ResultCode::EvacuationApplied, "list of evacuated data centres applied",
+        { { "revision", std::to_string(state.revision) }, { "evacuated", describe(list) },
+            { "targets", std::to_string(state.targets) }, { "open_flows", std::to_string(state.openFlows) } });
+}
+
+void CookieEntryDaemon::reportStoppedDataCentres()
+{
+    const StoppedDataCentreState state = m_steering.stoppedDataCentres();
+    m_controlClient.setStoppedDataCentres(state.revision, state.openFlows);
+}
+
 void CookieEntryDaemon::handleTargetEvent(const RegisteredTarget& target, TargetEvent event)
 {
     m_steering.updateTarget(target, m_loop.now());
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -47,6 +47,8 @@
     std::error_code openListeners();
     void addSeeds(const schema::CookieEntrySettings& settings);
     void handleSyncResponse(const schema::EntrySyncAnswer& response);
+    void applyStoppedDataCentres(const schema::StoppedDataCentres& list);
+    void reportStoppedDataCentres();
     void installRoutingTable(const std::string& routingTable);
     void handleTargetEvent(const RegisteredTarget& target, TargetEvent event);
     void logDecision(const FlowPacket& packet, const SteeringDecision& decision) const;
--- a/src/bergamot-entry/entry_metrics.cpp
+++ b/src/bergamot-entry/entry_metrics.cpp
@@ -50,6 +50,15 @@
     add("flows", "Flows in the flow table.", static_cast<double>(m_steering.flowCount()));
     add("document_version", "Version of the routing document in force on this host.",
         static_cast<double>(m_steering.documentVersion()));
+    const StoppedDataCentreState stopped = m_steering.stoppedDataCentres();
+    add("data_centres_evacuated", "Data centres whose targets get no new flows on this host.",
+        static_cast<double>(stopped.count));
+    add("data_centres_revision", "Revision of the list of evacuated data centres that this host has applied.",
+        static_cast<double>(stopped.revision));
+    add("targets_evacuated", "Targets that get no new flows because their data centre is evacuated.",
+        static_cast<double>(stopped.targets));
+    add("flows_at_evacuated", "Open flows to targets of evacuated data centres.",
+        static_cast<double>(stopped.openFlows));
     add("view_age_seconds", "Time since the last response from a control host that is in contact with a majority.",
         std::chrono::duration<double>(m_controlClient.viewAge()).count());
     add("control_calls_failed_total", "Failed RPCs to control hosts.",
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -100,6 +100,17 @@
     SteeringDecision decision;
 };
 
+/// Stopped data centres as one entry host sees them.
+struct StoppedDataCentreState {
+    /// Revision of the applied list; zero if there is none.
+    std::uint64_t revision = 0;
+    /// Stopped data centres.
+    std::size_t count = 0;
+    /// Their targets that are not gone, and the open flows to them that this host observes.
+    std::size_t targets = 0;
+    std::uint32_t openFlows = 0;
+};
+
 /// Counters since the start of the process.
 struct SteeringCounters {
     std::uint64_t firstPackets = 0;
@@ -130,6 +141,15 @@
     /// Applies a change of a target in the registry.
     void updateTarget(const RegisteredTarget& target, TimePoint now);
 
+    /// Applies the list of data centres whose targets get no new flows; their open flows continue. A list is ignored
+    /// unless its revision is higher than that of the applied one, so that a control host that lags behind cannot bring
+    /// an older state back.
+    /// @return true if it was applied.
+    bool setStoppedDataCentres(const schema::StoppedDataCentres& list, TimePoint now);
+
+    /// @return state of the stopped data centres as this host has applied it.
+    StoppedDataCentreState stoppedDataCentres() const;
+
     /// Decides on a client's packet. String views in the result are valid until the next call.
     SteeringDecision handlePacket(const FlowPacket& packet, TimePoint now);
 
@@ -156,8 +176,8 @@
     /// Applies the state of this host's link.
     void setLinkState(const LinkState& state);
 
-    /// @return decisions on waiting flows that are due: each is placed now, or refused because it has waited for as long
-    /// as it may. Views in the result are valid until the next call.
+    /// @return decisions on waiting flows that are due: each is placed now, or refused because it has waited for as
+    /// long as it may. Views in the result are valid until the next call.
     std::vector<FlowRelease> takeReleases(TimePoint now);
 
     /// @return the time at which takeReleases() is due at the latest, or nothing if no flow waits.
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -132,6 +132,18 @@
     m_implementation->pool.update(target, now);
 }
 
+bool CookieSteering::setStoppedDataCentres(const schema::StoppedDataCentres& list, TimePoint now)
+{
+    return m_implementation->pool.setStoppedDataCentres(list, now);
+}
+
+StoppedDataCentreState CookieSteering::stoppedDataCentres() const
+{
+    const TargetPool& pool = m_implementation->pool;
+    const StoppedDataCentreList& list = pool.stoppedDataCentres();
+    return { list.revision(), list.size(), pool.stoppedTargetCount(), pool.flowsAtStopped() };
+}
+
 SteeringDecision CookieSteering::handlePacket(const FlowPacket& packet, TimePoint now)
 {
     return packet.isFirst() ? m_implementation->firstPackets.handle(packet, now)
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -41,6 +41,7 @@
     target.id = record.id();
     target.service = record.service();
     target.dataCentre = record.data_centre();
+    target.dataCentreStopped = m_stoppedDataCentres.contains(target.dataCentre);
     target.endpoint = Endpoint::parse(record.endpoint(), error);
     target.number = m_targetNumberOf(record.id());
     target.cookie = makeCookie(target.number);
@@ -82,6 +83,33 @@
     }
 }
 
+bool TargetPool::setStoppedDataCentres(const schema::StoppedDataCentres& list, TimePoint now)
+{
+    if (!m_stoppedDataCentres.apply(list, now))
+        return false;
+    for (const auto& [id, target] : m_targets)
+        target->dataCentreStopped = m_stoppedDataCentres.contains(target->dataCentre);
+    return true;
+}
+
+std::uint32_t TargetPool::flowsAtStopped() const
+{
+    std::uint32_t flows = 0;
+    if (m_stoppedDataCentres.isEmpty())
+        return flows;
+    for (const auto& [id, target] : m_targets)
+        flows += target->dataCentreStopped ? target->ownLoad.openFlows : 0;
+    return flows;
+}
+
+std::size_t TargetPool::stoppedTargetCount() const
+{
+    if (m_stoppedDataCentres.isEmpty())
+        return 0;
+    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(),
+        [](const auto& item) { return item.second->dataCentreStopped && item.second->phase != schema::TARGET_GONE; }));
+}
+
 void TargetPool::purgeGone(Duration after, TimePoint now)
 {
     const auto isExpired = [after, now](const PooledTarget& target) {
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -9,11 +9,13 @@
 #include "bergamotroute/flow_packet.h"
 #include "bergamotroute/target_registry.h"
 #include "bergamotroute/types.h"
+#include "cookie/stopped_data_centres.h"
 #include "cookie/target_reachability.h"
 
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +41,8 @@
     bool silent = false;
     /// Another target has the same cookie and takes precedence; this one gets no flows until that one is gone.
     bool cookieTaken = false;
+    /// Operators have stopped the target's data centre; its open flows continue.
+    bool dataCentreStopped = false;
     std::uint64_t startTimeMs = 0;
     TimePoint slowStartUntil;
     TimePoint goneSince;
@@ -50,7 +54,7 @@
     TimePoint avoidUntil;
     std::uint32_t avoidCount = 0;
 
-    bool takesNewFlows() const { return phase == schema::TARGET_READY && !cookieTaken; }
+    bool takesNewFlows() const { return phase == schema::TARGET_READY && !cookieTaken && !dataCentreStopped; }
 };
 
 /// All targets by id and by cookie. Pointers stay valid until purgeGone().
@@ -84,6 +88,25 @@
     /// @return the observed load of each target that has any, and the targets that this host cannot reach.
     schema::TargetLoadReport ownReport() const;
 
+    /// Applies the list of stopped data centres unless a list of the same or a higher revision has been applied.
+    /// @return true if it was applied.
+    bool setStoppedDataCentres(const schema::StoppedDataCentres& list, TimePoint now);
+
+    const StoppedDataCentreList& stoppedDataCentres() const { return m_stoppedDataCentres; }
+
+    /// @return the time at which a data centre returned to service; nothing if it was not stopped since the start of
+    /// this process or is stopped now.
+    std::optional<TimePoint> returnedAt(const std::string& dataCentre) const
+    {
+        return m_stoppedDataCentres.returnedAt(dataCentre);
+    }
+
+    /// @return open flows that this host observes to targets of stopped data centres.
+    std::uint32_t flowsAtStopped() const;
+
+    /// @return targets that get no new flows because their data centre is stopped.
+    std::size_t stoppedTargetCount() const;
+
     const std::map<std::string, std::unique_ptr<PooledTarget>, std::less<>>& all() const { return m_targets; }
 
 private:
@@ -104,6 +127,7 @@
     bool m_cookiesStale = false;
     std::unordered_map<std::string, std::vector<PooledTarget*>> m_byService;
     std::map<std::string, Report> m_reports;
+    StoppedDataCentreList m_stoppedDataCentres;
 };
 
 /// @return the cookie of a target, never zero: its number if that fits into 32 bits, otherwise a hash of the number.
