Read the slow start of services from the document and pass it to entry hosts

Cause: the routing document states for each service how long slow start lasts and which rate a target accepts then, and neither reached entry hosts. A document without a rate gives the same bytes as before. Tested: libbergamot_test, platform_test.

--- a/src/include/bergamotroute/routing_document.h
+++ b/src/include/bergamotroute/routing_document.h
@@ -6,6 +6,7 @@
 #include "bergamotroute/clock.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -53,11 +54,20 @@
     std::vector<WeightedService> services;
 };
 
+/// Slow start of a service's targets: the time after a start in which a target is slower.
+struct SlowStart {
+    Duration duration { 0 };
+    /// Requests per second that a target accepts in slow start; may be zero or a fraction.
+    double rate = 0;
+};
+
 /// One version of the routing document.
 struct RoutingDocument {
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<std::string> services;
+    /// Slow start by service, for services whose rate in slow start is stated.
+    std::map<std::string, SlowStart, std::less<>> slowStarts;
     /// Idle time after which the state of a flow may be removed; zero if the document sets no limit.
     Duration idleTimeout { 0 };
 
--- a/src/include/bergamotroute/routing_record.h
+++ b/src/include/bergamotroute/routing_record.h
@@ -13,8 +13,8 @@
 
 schema::RoutingTable toProto(const RoutingDocument& document);
 
-/// @return the document, or nothing if a route refers to a service that is not in the list, has no service, or has an
-/// invalid kind or port.
+/// @return the document, or nothing if a route or slow start refers to a service that is not in the list, a route has
+/// no service or an invalid kind or port, or a rate in slow start is not a number from zero up.
 std::optional<RoutingDocument> fromProto(const schema::RoutingTable& table);
 
 }
--- a/src/libbergamot/cookie/routing_record.cpp
+++ b/src/libbergamot/cookie/routing_record.cpp
@@ -1,11 +1,18 @@
 #include "bergamotroute/routing_record.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bergamotroute {
 
 namespace {
 
+    std::uint32_t indexOf(const RoutingDocument& document, std::string_view service)
+    {
+        const auto found = std::find(document.services.begin(), document.services.end(), service);
+        return static_cast<std::uint32_t>(found - document.services.begin());
+    }
+
     void writeRoute(const RoutingDocument& document, const Route& route, schema::RouteRecord& record)
     {
         record.set_name(route.name);
@@ -16,12 +23,34 @@
         record.set_objective_ms(static_cast<std::uint32_t>(route.latencyObjective.count()));
         record.set_priority(route.priority);
         for (const WeightedService& weighted : route.services) {
-            const auto found = std::find(document.services.begin(), document.services.end(), weighted.service);
-            record.add_services(static_cast<std::uint32_t>(found - document.services.begin()));
+            record.add_services(indexOf(document, weighted.service));
             record.add_weights(weighted.weight);
         }
     }
 
+    void writeSlowStarts(const RoutingDocument& document, schema::RoutingTable& table)
+    {
+        for (const auto& [service, slowStart] : document.slowStarts) {
+            schema::SlowStartRecord& record = *table.add_slow_starts();
+            record.set_service(indexOf(document, service));
+            record.set_duration_ms(static_cast<std::uint32_t>(slowStart.duration.count()));
+            record.set_rate(slowStart.rate);
+        }
+    }
+
+    bool readSlowStarts(const schema::RoutingTable& table, RoutingDocument& document)
+    {
+        for (const schema::SlowStartRecord& record : table.slow_starts()) {
+            const bool isValid = record.service() < static_cast<std::uint32_t>(table.services_size())
+                && std::isfinite(record.rate()) && record.rate() >= 0;
+            if (!isValid)
+                return false;
+            const std::string& service = table.services(static_cast<int>(record.service()));
+            document.slowStarts[service] = { Duration(record.duration_ms()), record.rate() };
+        }
+        return true;
+    }
+
     bool readServices(const schema::RoutingTable& table, const schema::RouteRecord& record, Route& route)
     {
         if (record.services_size() == 0 || record.services_size() != record.weights_size())
@@ -59,6 +88,7 @@
     for (const Route& route : document.routes)
         writeRoute(document, route, *table.add_routes());
     table.set_idle_timeout_ms(static_cast<std::uint32_t>(document.idleTimeout.count()));
+    writeSlowStarts(document, table);
     return table;
 }
 
@@ -73,6 +103,8 @@
             return std::nullopt;
     }
     document.idleTimeout = Duration(table.idle_timeout_ms());
+    if (!readSlowStarts(table, document))
+        return std::nullopt;
     return document;
 }
 
--- a/src/libbergamot/cookie/routing_record_test.cpp
+++ b/src/libbergamot/cookie/routing_record_test.cpp
@@ -1,10 +1,13 @@
 /// @file
 /// Guards against a routing document with many routes whose transfer over a small link takes as long as a restart, and
-/// against routing tables that would make an entry host send flows to a service that the document does not list.
+/// against routing tables that would make an entry host send flows to a service that the document does not list, or
+/// lose the limit on targets in slow start.
 
 #include "bergamotroute/routing_record.h"
 
+#include <cmath>
 #include <doctest/doctest.h>
+#include <limits>
 
 using namespace bergamotroute;
 
@@ -16,6 +19,7 @@
     document.version = 1'234;
     document.services = { "orders", "manifests" };
     document.idleTimeout = Duration(15'000);
+    document.slowStarts["manifests"] = { Duration(2500), 0.75 };
     for (std::uint32_t i = 0; i < routes; ++i) {
         Route route;
         route.name = "r-" + std::to_string(1'000'000 + i);
@@ -43,6 +47,9 @@
     CHECK(copy->version == document.version);
     CHECK(copy->services == document.services);
     CHECK(copy->idleTimeout == document.idleTimeout);
+    REQUIRE(copy->slowStarts.size() == 1);
+    CHECK(copy->slowStarts.at("manifests").duration == Duration(2500));
+    CHECK(copy->slowStarts.at("manifests").rate == 0.75);
     REQUIRE(copy->routes.size() == document.routes.size());
     for (std::size_t i = 0; i < document.routes.size(); ++i) {
         const Route& route = document.routes[i];
@@ -66,7 +73,29 @@
     CHECK(toProto(makeDocument(1400)).ByteSizeLong() <= bytesInQuarterSecond);
 }
 
-TEST_CASE("a message is rejected if a route has no listed service, no weights, or an invalid kind or port")
+TEST_CASE("a document without a rate in slow start has the same message as before that field existed")
+{
+    RoutingDocument document = makeDocument(2);
+    document.slowStarts.clear();
+    schema::RoutingTable table = toProto(makeDocument(2));
+    table.clear_slow_starts();
+    CHECK(toProto(document).SerializeAsString() == table.SerializeAsString());
+}
+
+TEST_CASE("a message is rejected if a slow start has no listed service or no valid rate")
+{
+    const schema::RoutingTable table = toProto(makeDocument(1));
+    schema::RoutingTable changed = table;
+    changed.mutable_slow_starts(0)->set_service(2);
+    CHECK_FALSE(fromProto(changed));
+    for (const double rate : { -1.0, std::numeric_limits<double>::quiet_NaN(), HUGE_VAL }) {
+        changed = table;
+        changed.mutable_slow_starts(0)->set_rate(rate);
+        CHECK_FALSE(fromProto(changed));
+    }
+}
+
+TEST_CASE("a message is rejected if a route a route has no listed service, no weights, or an invalid kind or port")
 {
     const schema::RoutingTable table = toProto(makeDocument(1));
     schema::RoutingTable changed = table;
