Pass on a later end of slow start as an event if the document states a slow start

Cause: entry hosts learn the end of slow start from the first heartbeat of an incarnation only. Change: a heartbeat that states an end more than 300 ms after the one that entry hosts know is an event. Control hosts do this while the document in force states a slow start, so other deployments send the same messages as before. Tested: libbergamot_test.

--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -123,6 +123,7 @@
         const schema::Document& document = m_quorum.log().configuration().document();
         writeLog(LogLevel::Info, ResultCode::DocumentInForce, "document in force",
             { { "version", std::to_string(document.version()) } });
+        updateSlowStartEvents();
         m_entrySync.notify();
     });
 }
@@ -134,6 +135,7 @@
     if (const std::error_code error = openListeners())
         return error;
     m_replicator.setIdentity(m_quorum.identity());
+    updateSlowStartEvents();
     loadRegistry();
     addSeeds(m_settings);
     m_quorum.serve(m_rpcServer);
@@ -147,6 +149,13 @@
     return {};
 }
 
+void DirectoryDaemon::updateSlowStartEvents()
+{
+    schema::RoutingTable table;
+    const bool isParsed = table.ParseFromString(m_quorum.log().configuration().document().routing_table());
+    m_registry.setSlowStartEvents(isParsed && table.slow_starts_size() > 0);
+}
+
 void DirectoryDaemon::loadRegistry()
 {
     for (schema::TargetRecord& record : m_registryStore.load()) {
--- a/src/bergamot-directory/directory_daemon.h
+++ b/src/bergamot-directory/directory_daemon.h
@@ -59,6 +59,8 @@
     std::error_code openListeners();
     void addSeeds(const schema::DirectorySettings& settings);
     void handleTargetEvent(const RegisteredTarget& target, TargetEvent event);
+    /// Has the registry pass on a later end of slow start if the document in force states a slow start.
+    void updateSlowStartEvents();
     void loadRegistry();
     void runChecks();
     void changeMembers();
--- a/src/include/bergamotroute/target_registry.h
+++ b/src/include/bergamotroute/target_registry.h
@@ -28,7 +28,7 @@
     /// A new target, or a new incarnation of a known one.
     Found,
     Draining,
-    /// Ready again after draining, or changed properties in the same incarnation.
+    /// Ready again after draining, changed properties in the same incarnation, or a later end of slow start.
     Updated,
     Gone,
     Silent,
@@ -41,6 +41,8 @@
     /// For a silent target that was marked as gone, the time of that.
     TimePoint lastHeartbeat;
     TimePoint slowStartUntil;
+    /// End of slow start at the last event.
+    TimePoint announcedSlowStartUntil;
     bool silent = false;
     /// Sequence numbers of the last change to propagate and of the last event other than Refreshed.
     std::uint64_t lastChange = 0;
@@ -55,6 +57,8 @@
     Duration purgeAfter { 120'000 };
     /// Take silence from the records, not from the age of heartbeats: for copies that do not receive every heartbeat.
     bool silenceFromRecords = false;
+    /// A heartbeat that moves the end of slow start to a later time is an event.
+    bool slowStartEvents = false;
 };
 
 /// Registry of targets. Incarnations are ordered by start time, heartbeats of one incarnation by sequence number.
@@ -70,6 +74,9 @@
     /// Sets the observer of all events other than Ignored and Refreshed.
     void setObserver(Observer observer) { m_observer = std::move(observer); }
 
+    /// Sets whether a later end of slow start is an event: only a limit on targets in slow start needs it.
+    void setSlowStartEvents(bool enabled) { m_options.slowStartEvents = enabled; }
+
     /// Merges a record. Ages in the record are relative to now.
     /// @param isHeartbeat the target itself sent the record to this host. A plain heartbeat that another host reports
     /// is not a change here, so that each heartbeat is propagated once.
@@ -109,6 +116,7 @@
     void updateEndpointIndex(const std::string& id, const std::string& previousEndpoint, const std::string& endpoint);
     std::vector<schema::TargetRecord> recordsAfter(
         std::uint64_t number, std::uint64_t RegisteredTarget::*last, TimePoint now) const;
+    bool isSlowStartExtended(const RegisteredTarget& target, TimePoint now) const;
     void recordEvent(RegisteredTarget& target, TargetEvent event);
     void updateSilence(RegisteredTarget& target, Duration age, TimePoint now);
 
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+    /// Variation between the delays of two heartbeats, by which the end of slow start that they state may differ.
+    constexpr Duration slowStartTolerance { 300 };
+
     std::uint32_t millisecondsSince(TimePoint then, TimePoint now)
     {
         return static_cast<std::uint32_t>(std::max<Duration::rep>(0, (now - then).count()));
@@ -76,12 +79,20 @@
         event = TargetEvent::Found;
     else if (!hasSameProperties(previous, target.record))
         event = TargetEvent::Updated;
+    else if (isSlowStartExtended(target, now))
+        event = TargetEvent::Updated;
     else if (wasSilent != target.silent)
         event = target.silent ? TargetEvent::Silent : TargetEvent::Heard;
     recordEvent(target, event);
     return event;
 }
 
+bool TargetRegistry::isSlowStartExtended(const RegisteredTarget& target, TimePoint now) const
+{
+    return m_options.slowStartEvents && target.slowStartUntil > now
+        && target.slowStartUntil - target.announcedSlowStartUntil > slowStartTolerance;
+}
+
 void TargetRegistry::updateEndpointIndex(
     const std::string& id, const std::string& previousEndpoint, const std::string& endpoint)
 {
@@ -143,6 +154,7 @@
         return;
     target.lastChange = ++m_lastChange;
     target.lastEvent = ++m_lastEvent;
+    target.announcedSlowStartUntil = target.slowStartUntil;
     if (m_observer)
         m_observer(target, event);
 }
--- a/src/libbergamot/directory/target_registry_test.cpp
+++ b/src/libbergamot/directory/target_registry_test.cpp
@@ -130,6 +130,32 @@
     CHECK(registry.eventsSince(event, clock.now()).empty());
 }
 
+// Guards against entry hosts that take a target for warm because they learn of its first heartbeat only.
+TEST_CASE_FIXTURE(
+    Fixture, "a heartbeat that states a later end of slow start is an event if a document limits slow start")
+{
+    const auto heartbeat = [](std::uint64_t sequence, std::uint32_t slowStartLeft) {
+        schema::TargetRecord record = makeHeartbeat("i-1", 100, sequence);
+        record.set_cold_left_ms(slowStartLeft);
+        return record;
+    };
+    merge(heartbeat(1, 0));
+    CHECK(merge(heartbeat(2, 2000)) == TargetEvent::Refreshed);
+    registry.setSlowStartEvents(true);
+    const std::uint64_t event = registry.lastEvent();
+    CHECK(merge(heartbeat(3, 2000)) == TargetEvent::Updated);
+    const auto events = registry.eventsSince(event, clock.now());
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].cold_left_ms() == 2000);
+    // Heartbeats are delayed by different times.
+    CHECK(merge(heartbeat(4, 2300)) == TargetEvent::Refreshed);
+    clock.advance(Duration(1200));
+    CHECK(merge(heartbeat(5, 800)) == TargetEvent::Refreshed);
+    // The event counts from the end that entry hosts know, so small steps add up.
+    CHECK(merge(heartbeat(6, 1101)) == TargetEvent::Updated);
+    CHECK(merge(heartbeat(7, 0)) == TargetEvent::Refreshed);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a plain heartbeat reported by another host is not propagated again, but an event is")
 {
     registry.merge(makeHeartbeat("i-1", 100, 1), false, clock.now());
