--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -77,9 +77,7 @@
         event = TargetEvent::Draining;
     else if (isNew)
         event = TargetEvent::Found;
-    else if (!hasSameProperties(previous, target.record))
-        event = TargetEvent::Updated;
-    else if (isSlowStartExtended(target, now))
+    else if (!hasSameProperties(previous, target.record) || isSlowStartExtended(target, now))
         event = TargetEvent::Updated;
     else if (wasSilent != target.silent)
         event = target.silent ? TargetEvent::Silent : TargetEvent::Heard;
