Observe requests on flows, and record the return of a data centre to service

Cause: a limit on requests to a target needs to know when a flow sends a further request, and which flows keep sending. Change: the flow table counts requests of each flow and tells an observer; data within 300 ms of the first packet is the request that the first packet announces. TargetPool gets the time at which a data centre returned, in the smallest form; nothing sets it yet. Without an observer nothing else changes. Tested: libbergamot_test.

--- a/src/libbergamot/cookie/flow_table.cpp
+++ b/src/libbergamot/cookie/flow_table.cpp
@@ -17,6 +17,10 @@
     /// another entry host.
     constexpr Duration inactiveFlowTimeout { 5000 };
 
+    /// Data that follows a first packet within this time is the request that the first packet announces. Longer than a
+    /// round trip.
+    constexpr Duration openingTime { 300 };
+
     /// @return true if the left sequence number is after the right one in modulo-2^32 order (RFC 9293, section 3.4).
     bool isAfter(std::uint32_t left, std::uint32_t right) { return static_cast<std::int32_t>(left - right) > 0; }
 
@@ -51,9 +55,28 @@
     setRequestPending(state, false);
     if (isCounted(state) && state.target->ownLoad.openFlows > 0)
         --state.target->ownLoad.openFlows;
+    const bool isRecurring = state.requests >= firstRecurringRequest;
+    if (isCounted(state) && state.openedInSlowStart && isRecurring && state.target->recurringFlows > 0)
+        --state.target->recurringFlows;
+    if (m_observer && !state.closed && state.established && state.openedHere && !isRecurring)
+        m_observer->handleSingleRequestFlow(state);
     state.closed = true;
 }
 
+void FlowTable::countRequest(FlowState& state, TimePoint now)
+{
+    const bool isOpening = !state.sentData && now - state.lastPlaced < openingTime;
+    const bool isContinued = state.sentData && state.requestPending;
+    state.sentData = true;
+    if (isOpening || isContinued)
+        return;
+    ++state.requests;
+    if (state.requests == firstRecurringRequest && state.openedInSlowStart && isCounted(state))
+        ++state.target->recurringFlows;
+    if (m_observer)
+        m_observer->handleRequest(state, now);
+}
+
 FlowState* FlowTable::assign(const FlowId& flow, PooledTarget& target, TimePoint now)
 {
     auto found = m_flows.find(flow);
@@ -84,6 +107,8 @@
         if (!state)
             return FlowObservation::None;
         setRequestPending(*state, false);
+        state->openedHere = false;
+        state->sentData = true;
     }
     state->lastSeen = now;
     FlowObservation observation = FlowObservation::None;
@@ -102,6 +127,7 @@
     const std::uint32_t end = packet.sequence + packet.payloadBytes;
     if (packet.payloadBytes > 0 && isAfter(end, state->nextSequence)) {
         state->nextSequence = end;
+        countRequest(*state, now);
         setRequestPending(*state, true);
     } else if (packet.payloadBytes > 0 && observation == FlowObservation::None) {
         observation = FlowObservation::Retransmitted;
--- a/src/libbergamot/cookie/flow_table.h
+++ b/src/libbergamot/cookie/flow_table.h
@@ -22,10 +22,32 @@
     std::uint32_t acknowledged = 0;
     /// The client has acknowledged the target's response to the first packet.
     bool established = false;
+    /// Requests observed here so far: the one that the first packet announces, and further ones.
+    std::uint32_t requests = 1;
+    bool sentData = false;
+    /// This host has seen the flow's first packet.
+    bool openedHere = true;
+    /// The target was in slow start when the flow was opened, and its requests are limited.
+    bool openedInSlowStart = false;
     bool requestPending = false;
     bool closed = false;
 };
 
+/// Number of the request that shows a flow to be recurring, i.e. to carry more than one request.
+inline constexpr std::uint32_t firstRecurringRequest = 2;
+
+/// Is told about requests on tracked flows.
+class FlowTableObserver {
+public:
+    virtual ~FlowTableObserver() = default;
+
+    /// A request begins that is not the one announced by the flow's first packet.
+    virtual void handleRequest(const FlowState& flow, TimePoint now) = 0;
+
+    /// An established flow that was opened through this host ends without such a request.
+    virtual void handleSingleRequestFlow(const FlowState& flow) = 0;
+};
+
 /// What a client's packet shows about the flow's target.
 enum class FlowObservation {
     None,
@@ -44,6 +66,9 @@
     {
     }
 
+    /// Sets the observer of requests, which must outlive the table; null for none.
+    void setObserver(FlowTableObserver* observer) { m_observer = observer; }
+
     FlowState* find(const FlowId& flow);
 
     /// Tracks a flow that was assigned to a target and replaces the flow's previous state.
@@ -66,9 +91,12 @@
 private:
     static bool isCounted(const FlowState& state);
     static void setRequestPending(FlowState& state, bool pending);
-    static void close(FlowState& state);
+    void close(FlowState& state);
+    /// Counts the request that new data of a flow belongs to, unless it is counted already.
+    void countRequest(FlowState& state, TimePoint now);
 
     std::size_t m_capacity;
+    FlowTableObserver* m_observer = nullptr;
     std::unordered_map<FlowId, FlowState, FlowIdHash> m_flows;
 };
 
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -32,6 +32,7 @@
     const bool isRestart = !isNew && target.startTimeMs != record.born_ms();
     if (isRestart) {
         target.ownLoad = {};
+        target.recurringFlows = 0;
         target.reachability.restart();
         target.avoidUntil = {};
         target.avoidCount = 0;
@@ -109,6 +110,12 @@
     return found == m_byService.end() ? none : found->second;
 }
 
+std::optional<TimePoint> TargetPool::returnedAt(const std::string& dataCentre) const
+{
+    const auto found = m_returned.find(dataCentre);
+    return found == m_returned.end() ? std::nullopt : std::optional(found->second);
+}
+
 void TargetPool::applyReport(const Report& report, int sign)
 {
     for (const auto& [cookie, load] : report.loads) {
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -14,6 +14,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,6 +46,8 @@
     /// Load observed by this host, and load reported by other entry hosts.
     ObservedLoad ownLoad;
     ObservedLoad reportedLoad;
+    /// Open flows that this host opened while the target was in slow start and that have sent further requests.
+    std::uint32_t recurringFlows = 0;
     TargetReachability reachability;
     /// Avoided for new flows before this time, because first packets got no response.
     TimePoint avoidUntil;
@@ -74,6 +77,12 @@
     /// other targets stay valid.
     void purgeGone(Duration after, TimePoint now);
 
+    /// Records that a stopped data centre returned to service on this host.
+    void setReturned(const std::string& dataCentre, TimePoint now) { m_returned[dataCentre] = now; }
+
+    /// @return time at which a stopped data centre returned to service on this host, if it ever did.
+    std::optional<TimePoint> returnedAt(const std::string& dataCentre) const;
+
     /// Replaces the load that another entry host reported.
     /// @param isLocal that host is in this host's data centre, so the targets that it cannot reach matter here.
     void setReport(const schema::TargetLoadReport& report, bool isLocal, TimePoint now);
@@ -104,6 +113,7 @@
     bool m_cookiesStale = false;
     std::unordered_map<std::string, std::vector<PooledTarget*>> m_byService;
     std::map<std::string, Report> m_reports;
+    std::map<std::string, TimePoint> m_returned;
 };
 
 /// @return the cookie of a target, never zero: its number if that fits into 32 bits, otherwise a hash of the number.
