Limit the requests of all entry hosts to a target in slow start

Cause: a target in slow start had a higher cost only, and nothing limited the total of all entry hosts. Change: one entry host owns a target in slow start (rendezvous hashing over the entry hosts of its data centre) and places at most half of the permitted number within 1.1 s; the others place none. Flows without a permitted target are refused at once (FlowSlowStartLimited). Less than one allowed request means none, and a single one is sent only by a host whose list is unchanged for 5 s, because half of it cannot be sent. Under the limit only outstanding requests are weighted in the cost.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -50,6 +50,9 @@
         options.targetNumberOf = targetNumber;
         options.maxFlowAge = toDuration(settings.longest_flow_seconds());
         options.linkBytesPerSecond = settings.link_mbps() * bytesPerMegabit;
+        options.slowStartFactor = settings.slow_start_factor();
+        options.slowStartAllowance = settings.slow_start_allowance();
+        options.targetHeartbeat = Duration(settings.target_heartbeat_ms());
         return options;
     }
 
@@ -59,6 +62,7 @@
         // Control hosts decide which targets are silent; this replica must never decide on its own.
         options.silenceFromRecords = true;
         options.purgeAfter = 2 * toDuration(settings.longest_flow_seconds());
+        options.slowStartEvents = settings.slow_start_factor() > 0 || settings.slow_start_allowance() > 0;
         return options;
     }
 
@@ -171,13 +175,18 @@
     if (response.entry_hosts_size() > 0) {
         std::vector<Endpoint> localPeers;
         std::vector<Endpoint> remotePeers;
+        std::vector<EntryHostLocation> locations;
         for (const schema::EntryHostRecord& host : response.entry_hosts()) {
             const bool isLocal = host.data_centre() == m_settings.data_centre();
             if (host.host() != m_settings.host())
                 (isLocal ? localPeers : remotePeers).push_back(parseEndpoint(host.peer_endpoint()));
+            locations.push_back({ host.host(), host.data_centre() });
         }
+        m_steering.setEntryHosts(std::move(locations));
         m_reporter.setPeers(std::move(localPeers), std::move(remotePeers));
     }
+    if (!response.isolated())
+        m_steering.refreshView(m_loop.now());
     m_packets.retryHeldPackets();
     if (!m_wasReady && isReady()) {
         m_wasReady = true;
--- a/src/bergamot-entry/entry_metrics.cpp
+++ b/src/bergamot-entry/entry_metrics.cpp
@@ -42,6 +42,14 @@
     add("flows_route_unknown_total", "First packets that match no route.", static_cast<double>(counters.routeUnknown));
     add("flows_no_target_total", "First packets for which no target was available.",
         static_cast<double>(counters.noTarget));
+    add("flows_slow_start_limited_total",
+        "Flows refused because no target of the service accepted them under the limit on targets in slow start.",
+        static_cast<double>(counters.slowStartLimited));
+    const SlowStartStatus slowStart = m_steering.slowStartStatus(m_loop.now());
+    add("targets_slow_start", "Targets in slow start of services with a limit in slow start.",
+        static_cast<double>(slowStart.targets));
+    add("targets_slow_start_owned", "Targets in slow start on which this host, and no other, places flows.",
+        static_cast<double>(slowStart.owned));
     add("packets_target_gone_total", "Packets whose target is gone.", static_cast<double>(counters.targetGone));
     add("packets_cookie_unknown_total", "Packets whose cookie matches no known target.",
         static_cast<double>(counters.cookieUnknown));
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -34,6 +34,28 @@
     std::size_t flowCapacity = 65'536;
     /// Capacity of this host's link in bytes per second; zero if unknown, in which case overload is not controlled.
     double linkBytesPerSecond = 0;
+    /// A target in slow start gets at most this factor times its service's rate, plus the allowance (requests per
+    /// second), from all entry hosts together in any second. There is no limit if both are zero.
+    double slowStartFactor = 0;
+    double slowStartAllowance = 0;
+    /// Interval between heartbeats of a target.
+    Duration targetHeartbeat { 1200 };
+};
+
+/// An entry host as control hosts list it.
+struct EntryHostLocation {
+    std::string host;
+    std::string dataCentre;
+
+    bool operator==(const EntryHostLocation&) const = default;
+};
+
+/// Targets under the limit on slow start.
+struct SlowStartStatus {
+    /// Targets in slow start of services with a limit.
+    std::size_t targets = 0;
+    /// Those of them on which this host places flows, and no other host does.
+    std::size_t owned = 0;
 };
 
 /// What to do with a packet.
@@ -108,6 +130,8 @@
     std::uint64_t forwarded = 0;
     std::uint64_t routeUnknown = 0;
     std::uint64_t noTarget = 0;
+    /// Flows refused because no target of the service accepted them under the limit on targets in slow start.
+    std::uint64_t slowStartLimited = 0;
     std::uint64_t targetGone = 0;
     std::uint64_t cookieUnknown = 0;
     std::uint64_t avoidedTargets = 0;
@@ -130,6 +154,13 @@
     /// Applies a change of a target in the registry.
     void updateTarget(const RegisteredTarget& target, TimePoint now);
 
+    /// Sets the entry hosts that a control host lists, this host included. The list takes effect with the next
+    /// refreshView().
+    void setEntryHosts(std::vector<EntryHostLocation> hosts);
+
+    /// Records a response of a control host that is in contact with a majority.
+    void refreshView(TimePoint now);
+
     /// Decides on a client's packet. String views in the result are valid until the next call.
     SteeringDecision handlePacket(const FlowPacket& packet, TimePoint now);
 
@@ -156,8 +187,8 @@
     /// Applies the state of this host's link.
     void setLinkState(const LinkState& state);
 
-    /// @return decisions on waiting flows that are due: each is placed now, or refused because it has waited for as long
-    /// as it may. Views in the result are valid until the next call.
+    /// @return decisions on waiting flows that are due: each is placed now, or refused because it has waited for as
+    /// long as it may. Views in the result are valid until the next call.
     std::vector<FlowRelease> takeReleases(TimePoint now);
 
     /// @return the time at which takeReleases() is due at the latest, or nothing if no flow waits.
@@ -172,6 +203,7 @@
     const Route* findRoute(std::uint32_t address, std::uint16_t port) const;
 
     const SteeringCounters& counters() const;
+    SlowStartStatus slowStartStatus(TimePoint now) const;
     std::size_t flowCount() const;
 
 private:
--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -108,6 +108,7 @@
     ControlHostRegained = 619,
     SettingsReloaded = 620,
     LogLinesDropped = 621,
+    FlowSlowStartLimited = 625,
 
     // 7xx: transport and operator interface
     Unauthorized = 700,
--- a/src/libbergamot/base/result_code.cpp
+++ b/src/libbergamot/base/result_code.cpp
@@ -156,6 +156,9 @@
         { ResultCode::LogLinesDropped, "LogLinesDropped",
             "Log lines were dropped because the log could not be written fast enough; the log line contains their "
             "number." },
+        { ResultCode::FlowSlowStartLimited, "FlowSlowStartLimited",
+            "Each target of the service that accepts new flows is in slow start, and this host may not send the flow "
+            "to any of them; the flow was refused so that the client tries again through another host." },
         { ResultCode::Unauthorized, "Unauthorized", "The bearer token is missing or wrong." },
         { ResultCode::DeadlineExceeded, "DeadlineExceeded", "No answer was received before the deadline." },
         { ResultCode::ConnectionLost, "ConnectionLost", "The connection was closed before an answer was received." },
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -1,6 +1,7 @@
 #include "bergamotroute/cookie_steering.h"
 
 #include "cookie/first_packet_steering.h"
+#include "cookie/slow_start_limit.h"
 #include "cookie/steering_decisions.h"
 
 #include <algorithm>
@@ -37,8 +38,12 @@
         , flows(options.flowCapacity)
         , placement({}, options.host, options.dataCentre)
         , reachability(pool, options.dataCentre)
-        , firstPackets(routes, pool, flows, placement, reachability, counters)
+        , slowStartLimit(
+              { options.host, options.slowStartFactor, options.slowStartAllowance, options.targetHeartbeat }, pool)
+        , firstPackets(routes, pool, flows, placement, reachability, slowStartLimit, counters)
     {
+        flows.setObserver(&slowStartLimit);
+        placement.setSlowStartLimit(&slowStartLimit);
     }
 
     SteeringDecision handleSubsequentPacket(const FlowPacket& packet, TimePoint now);
@@ -52,6 +57,7 @@
     FlowTable flows;
     Placement placement;
     ReachabilityMonitor reachability;
+    SlowStartLimit slowStartLimit;
     SteeringCounters counters;
     LinkState linkState;
     FirstPacketSteering firstPackets;
@@ -124,9 +130,19 @@
 
 bool CookieSteering::installDocument(RoutingDocument document)
 {
-    return m_implementation->routes.install(std::move(document));
+    if (!m_implementation->routes.install(std::move(document)))
+        return false;
+    m_implementation->slowStartLimit.setDocument(m_implementation->routes.document());
+    return true;
 }
 
+void CookieSteering::setEntryHosts(std::vector<EntryHostLocation> hosts)
+{
+    m_implementation->slowStartLimit.setEntryHosts(std::move(hosts));
+}
+
+void CookieSteering::refreshView(TimePoint now) { m_implementation->slowStartLimit.refreshView(now); }
+
 void CookieSteering::updateTarget(const RegisteredTarget& target, TimePoint now)
 {
     m_implementation->pool.update(target, now);
@@ -148,7 +164,10 @@
 bool CookieSteering::handleProbeOutcome(const std::string& id, ProbeOutcome outcome, TimePoint now)
 {
     PooledTarget* target = m_implementation->findTarget(id);
-    return target && m_implementation->reachability.handleOutcome(*target, outcome, now);
+    const bool isChanged = target && m_implementation->reachability.handleOutcome(*target, outcome, now);
+    if (isChanged && !target->reachability.isUnreachable())
+        m_implementation->slowStartLimit.recordRecovery(*target, now);
+    return isChanged;
 }
 
 std::vector<FlowReset> CookieSteering::takeResets(const std::string& id)
@@ -200,6 +219,7 @@
     const Duration idle = configured.count() > 0 ? configured : self.options.maxFlowAge;
     self.flows.expire(idle, self.options.maxFlowAge, now);
     self.pool.expireReports(now);
+    self.slowStartLimit.advance(now);
     // The state of every flow is younger than this, so none refers to a removed target.
     self.reachability.prune();
     self.pool.purgeGone(2 * self.options.maxFlowAge, now);
@@ -214,6 +234,11 @@
 
 const SteeringCounters& CookieSteering::counters() const { return m_implementation->counters; }
 
+SlowStartStatus CookieSteering::slowStartStatus(TimePoint now) const
+{
+    return m_implementation->slowStartLimit.status(now);
+}
+
 std::size_t CookieSteering::flowCount() const { return m_implementation->flows.size(); }
 
 }
--- a/src/libbergamot/cookie/first_packet_steering.cpp
+++ b/src/libbergamot/cookie/first_packet_steering.cpp
@@ -34,14 +34,19 @@
     if (!choice.target) {
         SteeringDecision decision = refuse(packet, ResultCode::FlowNoTarget);
         // A host that knows no target at all has just started, so the packet is held.
-        if (m_pool.all().empty())
+        if (m_pool.all().empty()) {
             decision.action = SteeringAction::Hold;
-        else
+        } else if (choice.notPermitted > 0) {
+            // Another entry host may own a target of the service, and the client tries again through another host.
+            decision.code = ResultCode::FlowSlowStartLimited;
+        } else {
             ++m_counters.noTarget;
+        }
         decision.service = service;
         return decision;
     }
-    m_flows.assign(packet.flow, *choice.target, now);
+    FlowState* flow = m_flows.assign(packet.flow, *choice.target, now);
+    m_slowStartLimit.recordFirstPacket(*choice.target, flow, now);
     SteeringDecision decision = forwardTo(*choice.target, ResultCode::FlowPlaced);
     decision.cost = choice.cost;
     decision.candidates = choice.candidates;
@@ -49,6 +54,13 @@
     return decision;
 }
 
+bool FirstPacketSteering::mayRepeat(const FlowState& flow, const std::string& service, TimePoint now) const
+{
+    const PooledTarget& target = *flow.target;
+    const bool isCounted = flow.targetStartTimeMs == target.startTimeMs || !m_slowStartLimit.isLimited(target, now);
+    return isCounted && target.takesNewFlows() && target.service == service;
+}
+
 SteeringDecision FirstPacketSteering::placeAgain(
     const FlowPacket& packet, const std::string& service, FlowState& existing, TimePoint now)
 {
@@ -59,12 +71,17 @@
         m_reachability.suspect(previous, now);
     }
     const bool keepsTarget = !isUnresponsive && packet.acknowledgement <= maxRetransmissionsToSameTarget
-        && previous.takesNewFlows() && previous.service == service;
+        && mayRepeat(existing, service, now);
     if (keepsTarget) {
         existing.lastSeen = now;
         return forwardTo(previous, ResultCode::FlowPlaced);
     }
+    const bool isRepeatable = mayRepeat(existing, service, now);
     SteeringDecision decision = place(packet, service, &previous, now);
+    if (decision.code == ResultCode::FlowSlowStartLimited && isRepeatable) {
+        existing.lastSeen = now;
+        return forwardTo(previous, ResultCode::FlowPlaced);
+    }
     if (decision.action == SteeringAction::Forward) {
         decision.code = ResultCode::FlowPlacedAgain;
         ++m_counters.placedAgain;
@@ -91,6 +108,8 @@
     const bool isRetransmission = existing && !existing->established && !existing->closed && packet.acknowledgement > 0;
     SteeringDecision decision
         = isRetransmission ? placeAgain(packet, service, *existing, now) : place(packet, service, nullptr, now);
+    if (decision.code == ResultCode::FlowSlowStartLimited)
+        ++m_counters.slowStartLimited;
     decision.route = route->name;
     decision.retransmission = packet.acknowledgement;
     return decision;
--- a/src/libbergamot/cookie/first_packet_steering.h
+++ b/src/libbergamot/cookie/first_packet_steering.h
@@ -7,6 +7,7 @@
 #include "cookie/flow_table.h"
 #include "cookie/placement.h"
 #include "cookie/reachability_monitor.h"
+#include "cookie/slow_start_limit.h"
 #include "cookie/target_pool.h"
 
 namespace bergamotroute {
@@ -15,12 +16,13 @@
 public:
     /// All arguments must outlive the object.
     FirstPacketSteering(const RouteTable& routes, TargetPool& pool, FlowTable& flows, const Placement& placement,
-        ReachabilityMonitor& reachability, SteeringCounters& counters)
+        ReachabilityMonitor& reachability, SlowStartLimit& slowStartLimit, SteeringCounters& counters)
         : m_routes(routes)
         , m_pool(pool)
         , m_flows(flows)
         , m_placement(placement)
         , m_reachability(reachability)
+        , m_slowStartLimit(slowStartLimit)
         , m_counters(counters)
     {
     }
@@ -33,6 +35,8 @@
         const FlowPacket& packet, const std::string& service, const PooledTarget* excluded, TimePoint now);
     SteeringDecision placeAgain(
         const FlowPacket& packet, const std::string& service, FlowState& existing, TimePoint now);
+    /// @return true if a first packet may be sent to the flow's target again as the same request.
+    bool mayRepeat(const FlowState& flow, const std::string& service, TimePoint now) const;
     void avoid(PooledTarget& target, TimePoint now);
 
     const RouteTable& m_routes;
@@ -40,6 +44,7 @@
     FlowTable& m_flows;
     const Placement& m_placement;
     ReachabilityMonitor& m_reachability;
+    SlowStartLimit& m_slowStartLimit;
     SteeringCounters& m_counters;
 };
 
--- a/src/libbergamot/cookie/placement.cpp
+++ b/src/libbergamot/cookie/placement.cpp
@@ -1,5 +1,7 @@
 #include "cookie/placement.h"
 
+#include "cookie/slow_start_limit.h"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -37,12 +39,16 @@
     return count > 0 ? sum / static_cast<double>(count) : 0;
 }
 
-double Placement::costOf(const PooledTarget& target, double minRemoteIdleLoad, TimePoint now) const
+double Placement::costOf(const PooledTarget& target, double minRemoteIdleLoad, bool isLimited, TimePoint now) const
 {
     const double requests = target.ownLoad.requests + target.reportedLoad.requests;
     const double idle = isLocal(target) ? idleLoad(target) : std::max(idleLoad(target), minRemoteIdleLoad);
     double cost = requests / target.slots + idle + spreadOf(target);
-    if (target.slowStartUntil > now)
+    // Under a limit only the owner places flows on a target in slow start, so there is no herd to keep away: what
+    // counts is that a request waits longer behind others.
+    if (isLimited)
+        cost += (m_options.slowStartFactor - 1) * requests / target.slots + m_options.slowStartCost;
+    else if (target.slowStartUntil > now)
         cost = cost * m_options.slowStartFactor + m_options.slowStartCost;
     if (!isLocal(target))
         cost += m_options.remoteCost;
@@ -64,7 +70,12 @@
     for (PooledTarget* target : targets) {
         if (!target->takesNewFlows())
             continue;
-        double cost = costOf(*target, minRemoteIdleLoad, now);
+        const bool isLimited = m_slowStartLimit && m_slowStartLimit->isLimited(*target, now);
+        if (isLimited && !m_slowStartLimit->permits(*target, now)) {
+            ++best.notPermitted;
+            continue;
+        }
+        double cost = costOf(*target, minRemoteIdleLoad, isLimited, now);
         if (excluded && now - target->reachability.lastResponse() >= m_options.provenFor)
             cost += m_options.unprovenCost;
         PlacementChoice& selected = target == excluded ? fallback : best;
@@ -77,6 +88,7 @@
     if (best.target)
         return best;
     fallback.candidates = best.candidates;
+    fallback.notPermitted = best.notPermitted;
     return fallback;
 }
 
--- a/src/libbergamot/cookie/placement.h
+++ b/src/libbergamot/cookie/placement.h
@@ -11,6 +11,8 @@
 
 namespace bergamotroute {
 
+class SlowStartLimit;
+
 /// Weights of the cost of a target. The unit of cost is one outstanding request per slot.
 struct PlacementOptions {
     /// Expected outstanding requests of one idle open flow.
@@ -39,6 +41,8 @@
     double cost = 0;
     /// Targets that could have been chosen.
     std::size_t candidates = 0;
+    /// Targets in slow start to which this host may not send the flow.
+    std::size_t notPermitted = 0;
 };
 
 class Placement {
@@ -46,6 +50,9 @@
     /// @param host name of this entry host; seeds its own order of targets with equal load.
     Placement(PlacementOptions options, std::string host, std::string dataCentre);
 
+    /// Sets the limit on targets in slow start, which must outlive the object; null for none.
+    void setSlowStartLimit(SlowStartLimit* limit) { m_slowStartLimit = limit; }
+
     /// @param excluded the target that did not answer the flow's first packet, to be chosen only if there is no other;
     /// null for a new flow.
     PlacementChoice choose(
@@ -58,11 +65,13 @@
     double idleLoad(const PooledTarget& target) const;
     double meanLocalIdleLoad(const std::vector<PooledTarget*>& targets) const;
     /// @param minRemoteIdleLoad lower bound for the idle load of a target in another data centre.
-    double costOf(const PooledTarget& target, double minRemoteIdleLoad, TimePoint now) const;
+    /// @param isLimited the target is in slow start, and the limit permits the flow.
+    double costOf(const PooledTarget& target, double minRemoteIdleLoad, bool isLimited, TimePoint now) const;
 
     PlacementOptions m_options;
     std::string m_dataCentre;
     std::uint64_t m_seed;
+    SlowStartLimit* m_slowStartLimit = nullptr;
 };
 
 }
--- /dev/null
+++ b/src/libbergamot/cookie/slow_start_limit.h
@@ -0,0 +1,111 @@
+#pragma once
+
+/// @file
+/// Limits the new requests that all entry hosts together send to a target in slow start, without messages between them:
+/// one entry host owns the target and counts its requests. docs/design/evacuation.md compares this with shares and
+/// leases.
+
+#include "bergamotroute/cookie_steering.h"
+#include "bergamotroute/routing_document.h"
+#include "cookie/flow_table.h"
+#include "cookie/request_window.h"
+#include "cookie/target_pool.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace bergamotroute {
+
+struct SlowStartOptions {
+    /// Name of this entry host.
+    std::string host;
+    /// A target in slow start gets at most factor times the rate of its service, plus the allowance, in any second.
+    /// There is no limit if both are zero.
+    double factor = 0;
+    /// Requests per second.
+    double allowance = 0;
+    Duration targetHeartbeat { 0 };
+};
+
+class SlowStartLimit final : public FlowTableObserver {
+public:
+    /// @param pool must outlive the object.
+    SlowStartLimit(SlowStartOptions options, const TargetPool& pool);
+
+    /// Applies the rates in slow start of a routing document.
+    void setDocument(const RoutingDocument& document);
+
+    /// Sets the entry hosts that a control host lists. The list takes effect with the next refreshView(), because a
+    /// control host without a majority may list too few.
+    void setEntryHosts(std::vector<EntryHostLocation> hosts);
+
+    /// Records a response of a control host that is in contact with a majority.
+    void refreshView(TimePoint now);
+
+    /// Records that a target which could not be reached can be reached again: a host without contact to control hosts
+    /// does not learn whether the target has been started again in the meantime.
+    void recordRecovery(const PooledTarget& target, TimePoint now);
+
+    /// @return true if the target is in slow start and its service has a limit.
+    bool isLimited(const PooledTarget& target, TimePoint now) const;
+
+    /// @return true if this host may send the first packet of a new flow to a limited target.
+    bool permits(const PooledTarget& target, TimePoint now);
+
+    /// Counts a first packet that is sent to a target.
+    /// @param flow state of the flow, or null if the flow is not tracked.
+    void recordFirstPacket(const PooledTarget& target, FlowState* flow, TimePoint now);
+
+    void handleRequest(const FlowState& flow, TimePoint now) override;
+    void handleSingleRequestFlow(const FlowState& flow) override;
+
+    /// Forgets the counts of targets that are no longer in slow start.
+    void advance(TimePoint now);
+
+    SlowStartStatus status(TimePoint now);
+
+private:
+    /// Limit of a service.
+    struct Rule {
+        std::uint32_t permittedRequests = 0;
+        /// Half of the allowed number is less than one, so that two hosts with different lists must not both send.
+        bool needsSettledList = false;
+    };
+
+    /// Requests beyond the first that flows of a service send within the window after they are opened; earlier flows
+    /// weigh less.
+    struct FlowStatistics {
+        std::uint32_t flows = 0;
+        std::uint32_t furtherRequests = 0;
+    };
+
+    const Rule* findRule(const PooledTarget& target) const;
+    TimePoint slowStartEnd(const PooledTarget& target, TimePoint now) const;
+    bool isViewStale(TimePoint now) const;
+    bool owns(const PooledTarget& target, const Rule& rule, TimePoint now);
+    bool isOwnerInList(const PooledTarget& target) const;
+    std::uint32_t expectedRequests(const PooledTarget& target, TimePoint now);
+    static void countFlow(FlowStatistics& statistics);
+
+    SlowStartOptions m_options;
+    const TargetPool& m_pool;
+    std::unordered_map<std::string, Rule> m_rules;
+    std::unordered_map<std::string, FlowStatistics> m_flowStatistics;
+    Duration m_longestSlowStart { 0 };
+    std::vector<EntryHostLocation> m_hosts;
+    /// Received since the last contact.
+    std::vector<EntryHostLocation> m_nextHosts;
+    TimePoint m_listChanged;
+    std::optional<TimePoint> m_lastContact;
+    /// Begin of the contact with control hosts that has not been interrupted since.
+    TimePoint m_contactSince;
+    /// By number of the target: whether this host is the owner by the list in use.
+    std::unordered_map<std::uint64_t, bool> m_ownerships;
+    std::unordered_map<std::uint64_t, RequestWindow> m_windows;
+    std::unordered_map<std::uint64_t, TimePoint> m_recoveries;
+};
+
+}
