--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -125,6 +125,7 @@
         writeLog(LogLevel::Info, ResultCode::DocumentInForce, "document in force",
             { { "version", std::to_string(document.version()) } });
         m_evacuations.handleConfiguration();
+        updateSlowStartEvents();
         m_entrySync.notify();
     });
 }
@@ -136,6 +137,7 @@
     if (const std::error_code error = openListeners())
         return error;
     m_replicator.setIdentity(m_quorum.identity());
+    updateSlowStartEvents();
     loadRegistry();
     addSeeds(m_settings);
     m_quorum.serve(m_rpcServer);
@@ -149,6 +151,13 @@
     return {};
 }
 
+void DirectoryDaemon::updateSlowStartEvents()
+{
+    schema::RoutingTable table;
+    const bool isParsed = table.ParseFromString(m_quorum.log().configuration().document().routing_table());
+    m_registry.setSlowStartEvents(isParsed && table.slow_starts_size() > 0);
+}
+
 void DirectoryDaemon::loadRegistry()
 {
     for (schema::TargetRecord& record : m_registryStore.load()) {
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -32,6 +32,7 @@
     const bool isRestart = !isNew && target.startTimeMs != record.born_ms();
     if (isRestart) {
         target.ownLoad = {};
+        target.recurringFlows = 0;
         target.reachability.restart();
         target.avoidUntil = {};
         target.avoidCount = 0;
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -49,6 +49,8 @@
     /// Load observed by this host, and load reported by other entry hosts.
     ObservedLoad ownLoad;
     ObservedLoad reportedLoad;
+    /// Open flows that this host opened while the target was in slow start and that have sent further requests.
+    std::uint32_t recurringFlows = 0;
     TargetReachability reachability;
     /// Avoided for new flows before this time, because first packets got no response.
     TimePoint avoidUntil;
