--- a/src/include/bergamotroute/link_state.h
+++ b/src/include/bergamotroute/link_state.h
@@ -5,8 +5,13 @@
 
 #include "bergamotroute/clock.h"
 
+#include <cstddef>
+
 namespace bergamotroute {
 
+/// Bytes of the Ethernet, IPv4 and UDP headers of a datagram.
+inline constexpr std::size_t linkHeaderBytes = 42;
+
 /// State of the link at one time, passed from the packet path to the decisions on flows.
 struct LinkState {
     /// The link is full in one direction, or was until shortly before, so this host's own observations of targets are
--- a/src/libbergamot/cookie/load_report_pacer.cpp
+++ b/src/libbergamot/cookie/load_report_pacer.cpp
@@ -1,5 +1,7 @@
 #include "bergamotroute/load_report_pacer.h"
 
+#include "bergamotroute/link_state.h"
+
 #include <algorithm>
 
 namespace bergamotroute {
@@ -14,8 +16,6 @@
     /// Share of the link capacity for reports to hosts of the same data centre, and the same share again for reports to
     /// other data centres. A host receives about as much report traffic as it sends.
     constexpr double linkShare = 0.02;
-    /// Bytes of the Ethernet, IPv4 and UDP headers of a datagram.
-    constexpr std::size_t headerBytes = 42;
     constexpr Duration minRepeatInterval { 500 };
     /// Consecutive reports that may be lost before a receiver drops the reported load.
     constexpr int toleratedLosses = 2;
@@ -26,7 +26,7 @@
 {
     if (m_linkBytesPerSecond <= 0)
         return Duration(0);
-    const double bytes = static_cast<double>((reportBytes + headerBytes) * peers);
+    const double bytes = static_cast<double>((reportBytes + linkHeaderBytes) * peers);
     const std::chrono::duration<double> interval(bytes / (m_linkBytesPerSecond * linkShare));
     return std::chrono::ceil<Duration>(interval);
 }
