Count the datagrams and bytes of UDP sockets

The use of an entry host's link is measured from these sums. Datagrams refused because of a full buffer are counted apart from other errors: a missing route does not mean that the link is full. libbergamotio_test passes.

--- a/src/bergamot-entry/load_reporter.h
+++ b/src/bergamot-entry/load_reporter.h
@@ -33,6 +33,8 @@
     /// Sends a report as soon as the pacing of the link allows; call it whenever the load may have changed.
     void scheduleReport();
 
+    const UdpTraffic& traffic() const { return m_socket.traffic(); }
+
     /// @return number of datagrams that the kernel did not accept.
     std::uint64_t sendErrors() const { return m_socket.sendErrors(); }
 
--- a/src/libbergamotio/udp_socket.cpp
+++ b/src/libbergamotio/udp_socket.cpp
@@ -3,6 +3,7 @@
 #include "bergamotroute/result_code.h"
 
 #include <array>
+#include <cerrno>
 #include <cstring>
 #include <netinet/in.h>
 #include <sys/uio.h>
@@ -75,6 +76,8 @@
     const auto received = static_cast<std::size_t>(count);
     for (std::size_t i = 0; i < received; ++i) {
         const std::span<const std::byte> payload(m_received->buffer(i), m_received->messages[i].msg_len);
+        ++m_traffic.receivedDatagrams;
+        m_traffic.receivedBytes += payload.size();
         handler(payload, toEndpoint(m_received->addresses[i]));
     }
     return received;
@@ -83,7 +86,7 @@
 void UdpSocket::queue(const Endpoint& target, std::span<const std::byte> header, std::span<const std::byte> payload)
 {
     if (header.size() + payload.size() > m_datagramBytes || target.address.isV4() != m_isV4) {
-        ++m_sendErrors;
+        ++m_traffic.sendErrors;
         return;
     }
     const std::size_t slot = m_sent->count++;
@@ -95,6 +98,8 @@
         std::memcpy(buffer, header.data(), header.size());
     std::memcpy(buffer + header.size(), payload.data(), payload.size());
     m_sent->vectors[slot].iov_len = header.size() + payload.size();
+    ++m_traffic.sentDatagrams;
+    m_traffic.sentBytes += header.size() + payload.size();
     if (m_sent->count == batchSize)
         flush();
 }
@@ -109,8 +114,10 @@
             next += static_cast<std::size_t>(sent);
             continue;
         }
+        if (errno == EAGAIN || errno == ENOBUFS)
+            ++m_traffic.fullBufferErrors;
         // An error belongs to the first datagram of the call; the others are still worth sending.
-        ++m_sendErrors;
+        ++m_traffic.sendErrors;
         ++next;
     }
     m_sent->count = 0;
--- a/src/libbergamotio/udp_socket.h
+++ b/src/libbergamotio/udp_socket.h
@@ -14,6 +14,19 @@
 
 namespace bergamotroute {
 
+/// Sums since a socket was opened; bytes are those of payloads.
+struct UdpTraffic {
+    std::uint64_t receivedDatagrams = 0;
+    std::uint64_t receivedBytes = 0;
+    /// Datagrams passed to the system, whether or not it took them.
+    std::uint64_t sentDatagrams = 0;
+    std::uint64_t sentBytes = 0;
+    /// Datagrams that the system did not take: full buffers, too long, of another address family, or without a route.
+    std::uint64_t sendErrors = 0;
+    /// Those of them for which a buffer was full.
+    std::uint64_t fullBufferErrors = 0;
+};
+
 /// A non-blocking UDP socket with one receive and one send batch.
 class UdpSocket {
 public:
@@ -52,8 +65,10 @@
     /// Sends the batch.
     void flush();
 
-    /// @return datagrams that the system did not take: full buffers, too long, or of another address family.
-    std::uint64_t sendErrors() const { return m_sendErrors; }
+    const UdpTraffic& traffic() const { return m_traffic; }
+
+    /// @return datagrams that the system did not take.
+    std::uint64_t sendErrors() const { return m_traffic.sendErrors; }
 
 private:
     struct Batch;
@@ -61,7 +76,7 @@
     std::size_t m_datagramBytes;
     int m_descriptor = -1;
     bool m_isV4 = true;
-    std::uint64_t m_sendErrors = 0;
+    UdpTraffic m_traffic;
     std::unique_ptr<Batch> m_received;
     std::unique_ptr<Batch> m_sent;
 };
