Pace packets to targets and report the state of the link while overload is controlled

PacketPath sends through PacedSender. While the link's capacity is known and the routing document has uploads, it passes packets to targets through PacketScheduler, measures the link with LinkMonitor and gives the state to CookieSteering after each batch of packets. When the last upload route is removed, and before the process ends, queued packets are sent. Otherwise a packet costs one comparison more. LinkOverloaded and LinkRecovered are logged once for each change of state.

libbergamot_test and libbergamotio_test pass; the daemon builds. The wiring has no test of its own yet.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -89,7 +89,7 @@
           [this](const schema::EntrySyncAnswer& response) { handleSyncResponse(response); })
     , m_readinessServer(loop)
     , m_metricsServer(loop)
-    , m_packets(loop, m_steering, m_adapter.codec, m_histograms)
+    , m_packets(loop, m_steering, m_adapter.codec, m_settings.link_mbps() * bytesPerMegabit, m_histograms)
     , m_reporter(loop, m_steering, m_settings.link_mbps())
     , m_checkTimer(loop,
           [this] {
@@ -97,13 +97,14 @@
               m_registry.advance(m_loop.now());
               m_checkTimer.start(checkInterval);
           })
-    , m_stopTimer(loop, [this] { m_loop.stop(); })
+    , m_stopTimer(loop, [this] { end(); })
 {
     m_registry.setObserver(
         [this](const RegisteredTarget& target, TargetEvent event) { handleTargetEvent(target, event); });
     m_packets.setDecisionObserver(
         [this](const FlowPacket& packet, const SteeringDecision& decision) { logDecision(packet, decision); });
     m_packets.setBatchObserver([this] { m_reporter.scheduleReport(); });
+    m_packets.setOtherTraffic([this] { return m_reporter.traffic(); });
 }
 
 std::error_code CookieEntryDaemon::start()
@@ -246,7 +247,7 @@
 void CookieEntryDaemon::stop()
 {
     if (m_stopping) {
-        m_loop.stop();
+        end();
         return;
     }
     m_stopping = true;
@@ -257,4 +258,10 @@
     m_stopTimer.start(forwarding);
 }
 
+void CookieEntryDaemon::end()
+{
+    m_packets.sendAll();
+    m_loop.stop();
+}
+
 }
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -51,6 +51,7 @@
     void handleTargetEvent(const RegisteredTarget& target, TargetEvent event);
     void logDecision(const FlowPacket& packet, const SteeringDecision& decision) const;
     bool isReady() const;
+    void end();
     std::string metrics() const;
 
     EventLoop& m_loop;
--- a/src/bergamot-entry/entry_metrics.cpp
+++ b/src/bergamot-entry/entry_metrics.cpp
@@ -9,6 +9,12 @@
 
 namespace bergamotroute {
 
+namespace {
+
+    double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}
+
 std::string CookieEntryDaemon::metrics() const
 {
     prometheus::Registry registry;
@@ -51,9 +57,28 @@
     add("document_version", "Version of the routing document in force on this host.",
         static_cast<double>(m_steering.documentVersion()));
     add("view_age_seconds", "Time since the last response from a control host that is in contact with a majority.",
-        std::chrono::duration<double>(m_controlClient.viewAge()).count());
+        toSeconds(m_controlClient.viewAge()));
     add("control_calls_failed_total", "Failed RPCs to control hosts.",
         static_cast<double>(m_controlClient.failedCalls()));
+    const LinkStatistics link = m_packets.linkStatistics();
+    add("link_receive_use", "Fraction of the link's capacity in use, from clients and other hosts.", link.receiveUse);
+    add("link_send_use", "Fraction of the link's capacity in use, to targets, clients and other hosts.", link.sendUse);
+    add("link_overloaded", "1 while the link is overloaded.", link.state.isOverloaded ? 1 : 0);
+    add("link_overloaded_seconds_total", "Time during which the link was overloaded.", toSeconds(link.overloadedTime));
+    add("urgent_delay_seconds", "Wait of an urgent packet that is queued now.", toSeconds(link.state.urgentDelay));
+    add("bulk_delay_seconds", "Wait of a bulk packet that is queued now.", toSeconds(link.state.bulkDelay));
+    add("urgent_queued_bytes", "Bytes of queued urgent packets.", static_cast<double>(link.urgentBytes));
+    add("bulk_queued_bytes", "Bytes of queued bulk packets.", static_cast<double>(link.bulkBytes));
+    add("retransmissions_merged_total", "Retransmissions that replaced the queued copy of their packet.",
+        static_cast<double>(link.packets.merged));
+    add("retransmissions_dropped_total", "Retransmissions of packets that had just left the queue; dropped.",
+        static_cast<double>(link.packets.repeated));
+    add("packets_expired_total", "Queued packets dropped because they had waited too long.",
+        static_cast<double>(link.packets.expired));
+    add("packets_overflowed_total", "Packets dropped because the queue was full.",
+        static_cast<double>(link.packets.overflowed));
+    add("packets_abandoned_total", "Queued packets dropped because their clients reset the flow.",
+        static_cast<double>(link.packets.abandoned));
     add("ready", "1 if the readiness endpoint returns 200.", isReady() ? 1 : 0);
     add("log_lines_dropped_total", "Log lines dropped because the log reader was too slow.",
         static_cast<double>(logCounters().dropped));
--- a/src/bergamot-entry/packet_path.cpp
+++ b/src/bergamot-entry/packet_path.cpp
@@ -29,12 +29,13 @@
 
 }
 
-PacketPath::PacketPath(
-    EventLoop& loop, CookieSteering& steering, const FlowPacketCodec& codec, prometheus::Registry& registry)
+PacketPath::PacketPath(EventLoop& loop, CookieSteering& steering, const FlowPacketCodec& codec,
+    double linkBytesPerSecond, prometheus::Registry& registry)
     : m_loop(loop)
     , m_steering(steering)
     , m_codec(codec)
     , m_socket(maxDatagramBytes)
+    , m_sender(loop, steering, m_socket, linkBytesPerSecond)
     , m_heldPackets(maxHeldPackets, heldLifetime)
     , m_batchTime(registry, "bergamot_entry_packet_seconds", "Time from receiving a batch of packets to forwarding it.")
     , m_heldTimer(loop, [this] { retryHeldPackets(); })
@@ -63,7 +64,7 @@
         if (count < UdpSocket::batchSize)
             break;
     }
-    m_socket.flush();
+    m_sender.finishBatch();
     m_batchTime.observe(std::chrono::steady_clock::now() - begin);
     startProbes();
     m_batchObserver();
@@ -89,7 +90,7 @@
             reset(flowReset.packet, flowReset.decision);
             m_decisionObserver(flowReset.packet, flowReset.decision);
         }
-        m_socket.flush();
+        m_sender.finishBatch();
     }
     startProbes();
     if (outcome != ProbeOutcome::Connected)
@@ -110,12 +111,14 @@
 
 void PacketPath::retryHeldPackets()
 {
-    if (m_heldPackets.isEmpty())
+    if (m_heldPackets.isEmpty()) {
+        m_sender.finishBatch();
         return;
+    }
     m_heldPackets.retry(m_loop.now(), [this](std::span<const std::byte> datagram, bool isLastAttempt) {
         return handleDatagram(datagram, isLastAttempt);
     });
-    m_socket.flush();
+    m_sender.finishBatch();
     if (!m_heldPackets.isEmpty())
         m_heldTimer.startAt(m_heldPackets.nextDeadline());
 }
@@ -156,19 +159,19 @@
     ++m_counters.forwarded;
     const std::vector<std::byte> prefix = m_codec.targetPrefix(decision.targetNumber);
     if (packet.cookie == decision.cookie) {
-        m_socket.queue(decision.endpoint, prefix, datagram);
+        m_sender.sendToTarget(packet, decision.endpoint, prefix, datagram);
         return;
     }
     m_rewriteBuffer.assign(datagram.begin(), datagram.end());
     m_codec.writeCookie(m_rewriteBuffer, decision.cookie);
-    m_socket.queue(decision.endpoint, prefix, m_rewriteBuffer);
+    m_sender.sendToTarget(packet, decision.endpoint, prefix, m_rewriteBuffer);
 }
 
 void PacketPath::reset(const FlowPacket& packet, const SteeringDecision& decision)
 {
     ++m_counters.resets;
     const std::vector<std::byte> resetPacket = m_codec.makeReset(packet.flow, decision.resetSequence);
-    m_socket.queue(toEndpoint(packet.flow.clientAddress, m_listen.port), {}, resetPacket);
+    m_sender.sendToClient(toEndpoint(packet.flow.clientAddress, m_listen.port), resetPacket);
 }
 
 }
--- a/src/bergamot-entry/packet_path.h
+++ b/src/bergamot-entry/packet_path.h
@@ -4,6 +4,7 @@
 /// Path of packets through an entry host: receives the packets of clients, has them steered, and forwards, resets or
 /// holds them. Also probes the targets that do not respond.
 
+#include "bergamot-entry/paced_sender.h"
 #include "bergamotroute/cookie_steering.h"
 #include "bergamotroute/held_packets.h"
 #include "libbergamotio/event_loop.h"
@@ -33,8 +34,10 @@
     using BatchObserver = std::function<void()>;
 
     /// @param codec encapsulation of packets; must outlive the object, as must the steering and the registry.
+    /// @param linkBytesPerSecond capacity of the host's link; zero if unknown.
     /// @param registry takes the histogram of processing times.
-    PacketPath(EventLoop& loop, CookieSteering& steering, const FlowPacketCodec& codec, prometheus::Registry& registry);
+    PacketPath(EventLoop& loop, CookieSteering& steering, const FlowPacketCodec& codec, double linkBytesPerSecond,
+        prometheus::Registry& registry);
 
     /// Opens the socket and starts to receive.
     /// @return the error if the socket cannot be opened.
@@ -46,9 +49,17 @@
     /// Sets the observer that is called after each batch of received packets.
     void setBatchObserver(BatchObserver observer) { m_batchObserver = std::move(observer); }
 
+    /// Sets the source of the traffic of other sockets on the host's link.
+    void setOtherTraffic(PacedSender::TrafficSource source) { m_sender.setOtherTraffic(std::move(source)); }
+
     /// Decides again on the held packets; to be called when targets or routes have changed.
     void retryHeldPackets();
 
+    /// Sends all queued packets without a wait, because the process ends.
+    void sendAll() { m_sender.sendAll(); }
+
+    LinkStatistics linkStatistics() const { return m_sender.statistics(); }
+
     const PacketCounters& counters() const { return m_counters; }
 
     /// @return datagrams that the kernel did not accept for sending.
@@ -71,6 +82,7 @@
     BatchObserver m_batchObserver;
     Endpoint m_listen;
     UdpSocket m_socket;
+    PacedSender m_sender;
     std::unique_ptr<ReadWatch> m_watch;
     std::vector<std::byte> m_rewriteBuffer;
     HeldPackets m_heldPackets;
--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -108,6 +108,8 @@
     ControlHostRegained = 619,
     SettingsReloaded = 620,
     LogLinesDropped = 621,
+    LinkOverloaded = 630,
+    LinkRecovered = 631,
 
     // 7xx: transport and operator interface
     Unauthorized = 700,
--- a/src/libbergamot/base/result_code.cpp
+++ b/src/libbergamot/base/result_code.cpp
@@ -156,6 +156,11 @@
         { ResultCode::LogLinesDropped, "LogLinesDropped",
             "Log lines were dropped because the log could not be written fast enough; the log line contains their "
             "number." },
+        { ResultCode::LinkOverloaded, "LinkOverloaded",
+            "The link of this entry host is full in one direction or packets wait in its queue; the host does not "
+            "judge "
+            "targets meanwhile. Compare link_mbps with the capacity of the link; add entry hosts if it recurs." },
+        { ResultCode::LinkRecovered, "LinkRecovered", "The link of this entry host is no longer overloaded." },
         { ResultCode::Unauthorized, "Unauthorized", "The bearer token is missing or wrong." },
         { ResultCode::DeadlineExceeded, "DeadlineExceeded", "No answer was received before the deadline." },
         { ResultCode::ConnectionLost, "ConnectionLost", "The connection was closed before an answer was received." },
