--- a/src/bergamot-entry/paced_sender.cpp
+++ b/src/bergamot-entry/paced_sender.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    /// Interval at which the state of an overloaded link is updated while no packets arrive.
+    /// Interval at which the state of the link is updated while no packets arrive.
     constexpr Duration stateInterval { 100 };
 
     std::uint64_t linkBytes(std::uint64_t datagrams, std::uint64_t bytes)
@@ -59,6 +59,10 @@
 
 void PacedSender::applySwitch()
 {
+    const std::uint64_t version = m_steering.documentVersion();
+    if (version == m_documentVersion)
+        return;
+    m_documentVersion = version;
     const bool isOn = m_steering.controlsOverload();
     if (isOn == (m_control != nullptr))
         return;
@@ -96,11 +100,8 @@
 
 void PacedSender::startTimer()
 {
-    TimePoint deadline = m_control->scheduler.nextDue().value_or(noDeadline);
-    if (m_control->monitor.isOverloaded())
-        deadline = std::min(deadline, m_loop.now() + stateInterval);
-    if (deadline != noDeadline)
-        m_timer.startAt(deadline);
+    const TimePoint nextUpdate = m_loop.now() + stateInterval;
+    m_timer.startAt(std::min(m_control->scheduler.nextDue().value_or(nextUpdate), nextUpdate));
 }
 
 LinkTotals PacedSender::totals() const
