--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -115,6 +115,8 @@
     SettingsReloaded = 620,
     LogLinesDropped = 621,
     FlowSlowStartLimited = 625,
+    LinkOverloaded = 630,
+    LinkRecovered = 631,
 
     // 7xx: transport and operator interface
     Unauthorized = 700,
--- a/src/libbergamot/base/result_code.cpp
+++ b/src/libbergamot/base/result_code.cpp
@@ -172,6 +172,11 @@
         { ResultCode::FlowSlowStartLimited, "FlowSlowStartLimited",
             "Each target of the service that accepts new flows is in slow start, and this host may not send the flow "
             "to any of them; the flow was refused so that the client tries again through another host." },
+        { ResultCode::LinkOverloaded, "LinkOverloaded",
+            "The link of this entry host is full in one direction or packets wait in its queue; the host does not "
+            "judge "
+            "targets meanwhile. Compare link_mbps with the capacity of the link; add entry hosts if it recurs." },
+        { ResultCode::LinkRecovered, "LinkRecovered", "The link of this entry host is no longer overloaded." },
         { ResultCode::Unauthorized, "Unauthorized", "The bearer token is missing or wrong." },
         { ResultCode::DeadlineExceeded, "DeadlineExceeded", "No answer was received before the deadline." },
         { ResultCode::ConnectionLost, "ConnectionLost", "The connection was closed before an answer was received." },
