Judge a full target unreachable only after 1.5 s of silence

Cause: a target whose queue is full answers neither first packets nor connection probes. In a surge beyond the capacity of the targets one open flow was reset although its target was alive. Change: while a suspected target's slots are in use, its probes are patient and run with a reference target until it has been silent for 1.5 s. Its load just before its last response counts, so that requests that pile up at a dead target do not delay the verdict. A probe that began before the target's last response no longer counts, and an inconclusive probe no longer ends a verdict.

--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -156,8 +156,8 @@
     /// Applies the state of this host's link.
     void setLinkState(const LinkState& state);
 
-    /// @return decisions on waiting flows that are due: each is placed now, or refused because it has waited for as long
-    /// as it may. Views in the result are valid until the next call.
+    /// @return decisions on waiting flows that are due: each is placed now, or refused because it has waited for as
+    /// long as it may. Views in the result are valid until the next call.
     std::vector<FlowRelease> takeReleases(TimePoint now);
 
     /// @return the time at which takeReleases() is due at the latest, or nothing if no flow waits.
--- a/src/libbergamot/cookie/reachability_monitor.cpp
+++ b/src/libbergamot/cookie/reachability_monitor.cpp
@@ -13,7 +13,7 @@
 {
     if (target.reachability.isSuspected() || target.phase == schema::TARGET_GONE)
         return;
-    target.reachability.suspect(now);
+    target.reachability.suspect(now, target.isFull());
     m_suspects.push_back(&target);
 }
 
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -51,6 +51,9 @@
     std::uint32_t avoidCount = 0;
 
     bool takesNewFlows() const { return phase == schema::TARGET_READY && !cookieTaken; }
+
+    /// @return true if the requests under way, own and reported, fill the target's slots.
+    bool isFull() const { return ownLoad.requests + reportedLoad.requests >= slots; }
 };
 
 /// All targets by id and by cookie. Pointers stay valid until purgeGone().
--- a/src/libbergamot/cookie/target_reachability.cpp
+++ b/src/libbergamot/cookie/target_reachability.cpp
@@ -1,5 +1,7 @@
 #include "cookie/target_reachability.h"
 
+#include <utility>
+
 namespace bergamotroute {
 
 namespace {
@@ -13,20 +15,28 @@
     constexpr Duration unreachableInterval { 300 };
     /// Failed probes before a target counts as unreachable; a single probe may be lost in the network.
     constexpr std::uint32_t unreachableThreshold = 2;
+    /// Silence after which a full target is judged like any other. Clients that wait at it give up after 1.4 s.
+    constexpr Duration fullTargetSilence { 1500 };
+    /// If the target has responded within this time, its load at that time counts. Requests that have arrived since may
+    /// have piled up because it is dead.
+    constexpr Duration recentResponse { 1000 };
 
 }
 
-void TargetReachability::suspect(TimePoint now)
+void TargetReachability::suspect(TimePoint now, bool isFull)
 {
     if (m_isSuspected)
         return;
     m_isSuspected = true;
+    m_suspectedSince = now;
+    m_isFull = now - m_lastResponse < recentResponse ? m_wasFull : isFull;
     m_nextProbe = now;
 }
 
-void TargetReachability::recordResponse(TimePoint now)
+void TargetReachability::recordResponse(TimePoint now, bool wasFull)
 {
     m_lastResponse = now;
+    m_wasFull = wasFull;
     restart();
 }
 
@@ -35,6 +45,8 @@
     m_isSuspected = false;
     m_isUnreachable = false;
     m_isPatient = false;
+    m_isFull = false;
+    m_isProbeStale = m_isProbePending;
     m_failedProbes = 0;
 }
 
@@ -47,12 +59,17 @@
 
 bool TargetReachability::wantsReference() const
 {
-    return !m_isPatient && !m_isUnreachable && m_failedProbes + 1 >= neededFailures();
+    if (m_isUnreachable)
+        return false;
+    return m_isFull || (!m_isPatient && m_failedProbes + 1 >= neededFailures());
 }
 
 ProbePlan TargetReachability::takeProbe(bool hasReference)
 {
     m_isProbePending = true;
+    m_isProbeStale = false;
+    if (m_isFull && !m_isUnreachable)
+        return { patientTimeout, hasReference };
     const bool needsReference = wantsReference();
     if (needsReference && !hasReference) {
         m_isPatient = true;
@@ -66,25 +83,34 @@
 bool TargetReachability::recordOutcome(ProbeOutcome outcome, TimePoint now)
 {
     m_isProbePending = false;
+    const bool isStale = std::exchange(m_isProbeStale, false);
     const bool wasUnreachable = m_isUnreachable;
     if (outcome == ProbeOutcome::Connected) {
         restart();
         return wasUnreachable;
     }
+    if (isStale)
+        return false;
+    if (m_isFull && now - m_suspectedSince >= fullTargetSilence) {
+        m_isFull = false;
+        m_isPatient = true;
+    }
     if (outcome == ProbeOutcome::Inconclusive) {
         m_failedProbes = 0;
-        m_nextProbe = m_isPatient ? now + patientInterval : now;
+        m_nextProbe = m_isPatient || m_isFull ? now + patientInterval : now;
         m_isPatient = true;
         return false;
     }
     if (!m_isSuspected)
         return false;
     ++m_failedProbes;
-    m_isUnreachable = outcome == ProbeOutcome::Refused || m_failedProbes >= neededFailures();
+    const bool isSilent = !m_isFull && m_failedProbes >= neededFailures();
+    // A target that refuses connections has ended. Silence proves less.
+    m_isUnreachable = m_isUnreachable || outcome == ProbeOutcome::Refused || isSilent;
     if (m_isUnreachable)
         m_nextProbe = now + unreachableInterval;
     else
-        m_nextProbe = m_isPatient ? now + patientInterval : now;
+        m_nextProbe = m_isPatient || m_isFull ? now + patientInterval : now;
     return m_isUnreachable != wasUnreachable;
 }
 
--- a/src/libbergamot/cookie/target_reachability.h
+++ b/src/libbergamot/cookie/target_reachability.h
@@ -3,7 +3,8 @@
 /// @file
 /// Failure detector of one target: decides when an entry host probes it and when it counts as unreachable. Two quick
 /// probes without an answer suffice if a reference target of the same data centre answers meanwhile, because a slow
-/// path or a full link would delay both. Without such a reference the probes wait longer.
+/// path or a full link would delay both. Without such a reference the probes wait longer. A target whose slots are all
+/// in use may be silent because its queue is full, so only a longer silence proves that it is unreachable.
 
 #include "bergamotroute/clock.h"
 #include "bergamotroute/cookie_steering.h"
@@ -22,10 +23,12 @@
 class TargetReachability {
 public:
     /// Records a sign that the target may be unreachable, such as a retransmitted packet.
-    void suspect(TimePoint now);
+    /// @param isFull the requests under way at the target fill its slots.
+    void suspect(TimePoint now, bool isFull = false);
 
     /// Records that a client has received something new from the target.
-    void recordResponse(TimePoint now);
+    /// @param wasFull the requests under way at the target filled its slots before this response.
+    void recordResponse(TimePoint now, bool wasFull = false);
 
     /// Forgets everything but the reports of other hosts; the target has been started again.
     void restart();
@@ -33,7 +36,7 @@
     /// @return true if the target is suspected, no probe is pending and the next one is due.
     bool isProbeDue(TimePoint now) const;
 
-    /// @return true if the next probe is a quick one that decides, which takes a reference target.
+    /// @return true if the next probe takes a reference target: a quick one that decides, or one of a full target.
     bool wantsReference() const;
 
     /// Starts the probe that is due.
@@ -58,12 +61,19 @@
     std::uint32_t neededFailures() const;
 
     TimePoint m_lastResponse;
+    TimePoint m_suspectedSince;
     TimePoint m_nextProbe;
     std::uint32_t m_failedProbes = 0;
     std::uint32_t m_reports = 0;
     bool m_isSuspected = false;
     bool m_isUnreachable = false;
     bool m_isProbePending = false;
+    /// The target has responded since the pending probe began.
+    bool m_isProbeStale = false;
+    /// The target was full at its last response.
+    bool m_wasFull = false;
+    /// The suspected target may be silent because it is full.
+    bool m_isFull = false;
     /// Quick probes were inconclusive.
     bool m_isPatient = false;
 };
