Judge no target while this host's link is overloaded

Cause: first packets, probes and responses wait behind a full link, so live targets were judged unreachable, and six open flows were reset in one surge. Change: while the link state says overloaded, unanswered probes prove nothing, unreachable targets cause no reset, a repeated first packet stays at its target unless that one is gone, and load reports carry a flag with which receivers ignore the reported unreachable targets. In force only under controlsOverload(), whose answer is now computed once per document.

--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -44,6 +44,10 @@
     SteeringDecision handleSubsequentPacket(const FlowPacket& packet, TimePoint now);
     SteeringDecision refuseUnreachable(const FlowPacket& packet, const PooledTarget& target);
     bool isIdempotent(const FlowId& flow) const;
+    bool controlsOverload() const { return options.linkBytesPerSecond > 0 && hasUploads; }
+    /// @return true if this host's own observations of targets are not reliable.
+    bool isOverloaded() const { return controlsOverload() && linkState.isOverloaded; }
+    void updateOverload();
     PooledTarget* findTarget(const std::string& id) const;
 
     CookieSteeringOptions options;
@@ -54,10 +58,18 @@
     ReachabilityMonitor reachability;
     SteeringCounters counters;
     LinkState linkState;
+    /// The document in force has routes with large requests.
+    bool hasUploads = false;
     FirstPacketSteering firstPackets;
     std::uint64_t reportSequence = 0;
 };
 
+void CookieSteering::Implementation::updateOverload()
+{
+    reachability.setOverloaded(isOverloaded());
+    firstPackets.setOverloaded(isOverloaded());
+}
+
 SteeringDecision CookieSteering::Implementation::refuseUnreachable(const FlowPacket& packet, const PooledTarget& target)
 {
     ++counters.targetUnreachable;
@@ -108,7 +120,8 @@
     else if (observation == FlowObservation::Retransmitted || isReported)
         reachability.suspect(*target, now);
     // Data sent to an unreachable target is lost. A reset lets the client retry an idempotent request at once.
-    if (target->reachability.isUnreachable() && packet.payloadBytes > 0 && isIdempotent(packet.flow))
+    const bool canReset = target->reachability.isUnreachable() && !isOverloaded();
+    if (canReset && packet.payloadBytes > 0 && isIdempotent(packet.flow))
         return refuseUnreachable(packet, *target);
     ++counters.forwarded;
     SteeringDecision decision = forwardTo(*target, ResultCode::Ok);
@@ -125,7 +138,12 @@
 
 bool CookieSteering::installDocument(RoutingDocument document)
 {
-    return m_implementation->routes.install(std::move(document));
+    Implementation& self = *m_implementation;
+    if (!self.routes.install(std::move(document)))
+        return false;
+    self.hasUploads = self.routes.document().hasUploads();
+    self.updateOverload();
+    return true;
 }
 
 void CookieSteering::updateTarget(const RegisteredTarget& target, TimePoint now)
@@ -156,7 +174,7 @@
 {
     std::vector<FlowReset> resets;
     const PooledTarget* target = m_implementation->findTarget(id);
-    if (!target || !target->reachability.isUnreachable())
+    if (!target || !target->reachability.isUnreachable() || m_implementation->isOverloaded())
         return resets;
     const auto isIdempotent = [this](const FlowId& flow) { return m_implementation->isIdempotent(flow); };
     for (const auto& [flow, acknowledgement] : m_implementation->flows.closePending(*target, isIdempotent)) {
@@ -180,16 +198,18 @@
     report.set_host(m_implementation->options.host);
     report.set_data_centre(m_implementation->options.dataCentre);
     report.set_sequence(++m_implementation->reportSequence);
+    report.set_overloaded(m_implementation->isOverloaded());
     return report;
 }
 
-bool CookieSteering::controlsOverload() const
+bool CookieSteering::controlsOverload() const { return m_implementation->controlsOverload(); }
+
+void CookieSteering::setLinkState(const LinkState& state)
 {
-    return m_implementation->options.linkBytesPerSecond > 0 && m_implementation->routes.document().hasUploads();
+    m_implementation->linkState = state;
+    m_implementation->updateOverload();
 }
 
-void CookieSteering::setLinkState(const LinkState& state) { m_implementation->linkState = state; }
-
 std::vector<FlowRelease> CookieSteering::takeReleases(TimePoint) { return {}; }
 
 std::optional<TimePoint> CookieSteering::nextRelease() const { return std::nullopt; }
--- a/src/libbergamot/cookie/first_packet_steering.cpp
+++ b/src/libbergamot/cookie/first_packet_steering.cpp
@@ -49,18 +49,25 @@
     return decision;
 }
 
+bool FirstPacketSteering::keepsTarget(const FlowPacket& packet, const PooledTarget& previous, bool isUnresponsive) const
+{
+    if (m_isOverloaded)
+        return !previous.reachability.isUnreachable();
+    return !isUnresponsive && packet.acknowledgement <= maxRetransmissionsToSameTarget;
+}
+
 SteeringDecision FirstPacketSteering::placeAgain(
     const FlowPacket& packet, const std::string& service, FlowState& existing, TimePoint now)
 {
     PooledTarget& previous = *existing.target;
     const bool isUnresponsive = previous.reachability.lastResponse() < existing.lastPlaced;
     if (isUnresponsive) {
-        avoid(previous, now);
+        if (!m_isOverloaded)
+            avoid(previous, now);
         m_reachability.suspect(previous, now);
     }
-    const bool keepsTarget = !isUnresponsive && packet.acknowledgement <= maxRetransmissionsToSameTarget
-        && previous.takesNewFlows() && previous.service == service;
-    if (keepsTarget) {
+    const bool isUsable = previous.takesNewFlows() && previous.service == service;
+    if (isUsable && keepsTarget(packet, previous, isUnresponsive)) {
         existing.lastSeen = now;
         return forwardTo(previous, ResultCode::FlowPlaced);
     }
--- a/src/libbergamot/cookie/first_packet_steering.h
+++ b/src/libbergamot/cookie/first_packet_steering.h
@@ -25,6 +25,9 @@
     {
     }
 
+    /// Sets whether this host is overloaded. A missing response then does not speak against a target.
+    void setOverloaded(bool isOverloaded) { m_isOverloaded = isOverloaded; }
+
     /// Decides on a first packet. Views in the result are valid until the targets or the routes change.
     SteeringDecision handle(const FlowPacket& packet, TimePoint now);
 
@@ -34,6 +37,7 @@
     SteeringDecision placeAgain(
         const FlowPacket& packet, const std::string& service, FlowState& existing, TimePoint now);
     void avoid(PooledTarget& target, TimePoint now);
+    bool keepsTarget(const FlowPacket& packet, const PooledTarget& previous, bool isUnresponsive) const;
 
     const RouteTable& m_routes;
     TargetPool& m_pool;
@@ -41,6 +45,7 @@
     const Placement& m_placement;
     ReachabilityMonitor& m_reachability;
     SteeringCounters& m_counters;
+    bool m_isOverloaded = false;
 };
 
 }
--- a/src/libbergamot/cookie/reachability_monitor.cpp
+++ b/src/libbergamot/cookie/reachability_monitor.cpp
@@ -68,6 +68,10 @@
 
 bool ReachabilityMonitor::handleOutcome(PooledTarget& target, ProbeOutcome outcome, TimePoint now)
 {
+    if (m_isOverloaded && outcome == ProbeOutcome::NoAnswer) {
+        target.reachability.recordUnjudged(now);
+        return false;
+    }
     const bool isChanged = target.reachability.recordOutcome(outcome, now);
     // A network partition usually isolates a whole data centre, so its other targets are probed too.
     if (isChanged && target.reachability.isUnreachable() && outcome == ProbeOutcome::NoAnswer)
--- a/src/libbergamot/cookie/reachability_monitor.h
+++ b/src/libbergamot/cookie/reachability_monitor.h
@@ -23,6 +23,9 @@
     {
     }
 
+    /// Sets whether this host is overloaded. It then judges no target by silence.
+    void setOverloaded(bool isOverloaded) { m_isOverloaded = isOverloaded; }
+
     /// Has a target probed because packets to it got no response; has no effect on one that is gone.
     void suspect(PooledTarget& target, TimePoint now);
 
@@ -42,6 +45,7 @@
     TargetPool& m_pool;
     std::string m_dataCentre;
     std::vector<PooledTarget*> m_suspects;
+    bool m_isOverloaded = false;
 };
 
 }
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -147,7 +147,7 @@
     for (int i = 0; i < count; ++i)
         entry.loads.emplace_back(report.cookies(i), ObservedLoad { report.open_flows(i), report.requests(i) });
     entry.unreachable.clear();
-    if (isLocal)
+    if (isLocal && !report.overloaded())
         entry.unreachable.assign(report.unreachable_cookies().begin(), report.unreachable_cookies().end());
     applyReport(entry, 1);
 }
--- a/src/libbergamot/cookie/target_reachability.cpp
+++ b/src/libbergamot/cookie/target_reachability.cpp
@@ -13,6 +13,8 @@
     constexpr Duration patientInterval { 100 };
     /// Time between probes of a target that is already unreachable.
     constexpr Duration unreachableInterval { 300 };
+    /// Time between probes while this host is overloaded, when most targets are suspected and probes add to the load.
+    constexpr Duration unjudgedInterval { 500 };
     /// Failed probes before a target counts as unreachable; a single probe may be lost in the network.
     constexpr std::uint32_t unreachableThreshold = 2;
     /// Silence after which a full target is judged like any other. Clients that wait at it give up after 1.4 s.
@@ -114,4 +116,13 @@
     return m_isUnreachable != wasUnreachable;
 }
 
+void TargetReachability::recordUnjudged(TimePoint now)
+{
+    m_isProbePending = false;
+    m_isProbeStale = false;
+    m_failedProbes = 0;
+    m_suspectedSince = now;
+    m_nextProbe = now + unjudgedInterval;
+}
+
 }
--- a/src/libbergamot/cookie/target_reachability.h
+++ b/src/libbergamot/cookie/target_reachability.h
@@ -46,6 +46,10 @@
     /// @return true if the outcome changes whether the target is unreachable.
     bool recordOutcome(ProbeOutcome outcome, TimePoint now);
 
+    /// Records that a probe got no answer while this host was overloaded, which proves nothing. The target's silence
+    /// counts from now.
+    void recordUnjudged(TimePoint now);
+
     /// Counts a host of the same data centre that reports the target as unreachable.
     void addReport() { ++m_reports; }
     void removeReport() { m_reports -= m_reports > 0 ? 1 : 0; }
