Limit second choices of repeated first packets by a budget

Cause: in a surge most first packets are repeated, and each second choice opens a second connection at a target. One host opened 334,720 connections for 100,229 requests. Change: under control of overload a second choice takes a token; there are as many as a tenth of the first packets of the last 10 s, plus 10. With an empty budget the packet goes to the same target, unless that one takes no new flows. FlowRate takes its window as a parameter and serves both kinds of steering.

--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -110,6 +110,8 @@
     std::uint64_t noTarget = 0;
     std::uint64_t targetGone = 0;
     std::uint64_t cookieUnknown = 0;
+    /// Repeated first packets that stayed at their target because the budget of second choices was empty.
+    std::uint64_t secondChoicesDenied = 0;
     std::uint64_t avoidedTargets = 0;
     std::uint64_t targetUnreachable = 0;
     std::uint64_t probes = 0;
--- a/src/libbergamot/admission/flow_rate.cpp
+++ b/src/libbergamot/admission/flow_rate.cpp
@@ -14,18 +14,24 @@
 
 void FlowRate::count(TimePoint now)
 {
-    advanceTo(now.time_since_epoch().count() / sliceMs);
+    advanceTo(now.time_since_epoch().count() / m_sliceMs);
     ++m_slices[static_cast<std::size_t>(m_newestSlice) % sliceCount];
 }
 
-double FlowRate::perSecond(TimePoint now) const
+double FlowRate::events(TimePoint now) const
 {
     FlowRate shifted = *this;
-    shifted.advanceTo(now.time_since_epoch().count() / sliceMs);
+    shifted.advanceTo(now.time_since_epoch().count() / m_sliceMs);
     std::uint64_t events = 0;
     for (const std::uint32_t slice : shifted.m_slices)
         events += slice;
-    return static_cast<double>(events) * 1000 / (sliceMs * sliceCount);
+    return static_cast<double>(events);
+}
+
+double FlowRate::perSecond(TimePoint now) const
+{
+    constexpr double msPerSecond = 1000;
+    return events(now) * msPerSecond / static_cast<double>(m_sliceMs * static_cast<std::int64_t>(sliceCount));
 }
 
 }
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -67,7 +67,7 @@
 void CookieSteering::Implementation::updateOverload()
 {
     reachability.setOverloaded(isOverloaded());
-    firstPackets.setOverloaded(isOverloaded());
+    firstPackets.setOverload(controlsOverload(), isOverloaded());
 }
 
 SteeringDecision CookieSteering::Implementation::refuseUnreachable(const FlowPacket& packet, const PooledTarget& target)
--- a/src/libbergamot/cookie/first_packet_steering.cpp
+++ b/src/libbergamot/cookie/first_packet_steering.cpp
@@ -67,7 +67,12 @@
         m_reachability.suspect(previous, now);
     }
     const bool isUsable = previous.takesNewFlows() && previous.service == service;
-    if (isUsable && keepsTarget(packet, previous, isUnresponsive)) {
+    bool keepsPrevious = isUsable && keepsTarget(packet, previous, isUnresponsive);
+    if (!keepsPrevious && m_controlsOverload && !m_retryBudget.take(now) && isUsable) {
+        ++m_counters.secondChoicesDenied;
+        keepsPrevious = true;
+    }
+    if (keepsPrevious) {
         existing.lastSeen = now;
         return forwardTo(previous, ResultCode::FlowPlaced);
     }
@@ -82,6 +87,8 @@
 SteeringDecision FirstPacketSteering::handle(const FlowPacket& packet, TimePoint now)
 {
     ++m_counters.firstPackets;
+    if (m_controlsOverload && packet.acknowledgement == 0)
+        m_retryBudget.countFirstPacket(now);
     const Route* route = m_routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
     if (!route) {
         SteeringDecision unknown = refuse(packet, ResultCode::FlowRouteUnknown);
--- a/src/libbergamot/cookie/first_packet_steering.h
+++ b/src/libbergamot/cookie/first_packet_steering.h
@@ -8,6 +8,7 @@
 #include "cookie/placement.h"
 #include "cookie/reachability_monitor.h"
 #include "cookie/target_pool.h"
+#include "overload/retry_budget.h"
 
 namespace bergamotroute {
 
@@ -25,8 +26,13 @@
     {
     }
 
-    /// Sets whether this host is overloaded. A missing response then does not speak against a target.
-    void setOverloaded(bool isOverloaded) { m_isOverloaded = isOverloaded; }
+    /// @param controlsOverload second choices are limited by a budget.
+    /// @param isOverloaded a missing response does not speak against a target, because this host's link is full.
+    void setOverload(bool controlsOverload, bool isOverloaded)
+    {
+        m_controlsOverload = controlsOverload;
+        m_isOverloaded = isOverloaded;
+    }
 
     /// Decides on a first packet. Views in the result are valid until the targets or the routes change.
     SteeringDecision handle(const FlowPacket& packet, TimePoint now);
@@ -45,6 +51,8 @@
     const Placement& m_placement;
     ReachabilityMonitor& m_reachability;
     SteeringCounters& m_counters;
+    RetryBudget m_retryBudget;
+    bool m_controlsOverload = false;
     bool m_isOverloaded = false;
 };
 
