Admit new flows that send much only while the link has room for them

Cause: seven uploads at one host fill its link for longer than the clients' retransmission timeout; from then on every packet is sent again and the queue does not drain. Change: the host learns what the requests of each route send; new flows of bulk routes share the bytes that the link carries in 100 ms. Without room they wait in order of priority, turn of their client account and objective, for a quarter of the objective, and are then refused before anything of them was forwarded. PacketPath keeps the first packets of waiting flows. In force only under controlsOverload().

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -231,10 +231,10 @@
 
 void CookieEntryDaemon::logDecision(const FlowPacket& packet, const SteeringDecision& decision) const
 {
-    const bool isPlacement = decision.code == ResultCode::FlowPlaced;
+    const bool isRoutine = decision.code == ResultCode::FlowPlaced || decision.code == ResultCode::FlowWaiting;
     std::array<char, 16> cost {};
     std::snprintf(cost.data(), cost.size(), "%.2f", decision.cost);
-    writeLog(isPlacement ? LogLevel::Info : LogLevel::Warning, decision.code, "steering decision",
+    writeLog(isRoutine ? LogLevel::Info : LogLevel::Warning, decision.code, "steering decision",
         { { "flow", describeFlow(packet.flow) }, { "route", std::string(decision.route) },
             { "service", std::string(decision.service) }, { "target", std::string(decision.target) },
             { "cost", cost.data() }, { "candidates", std::to_string(decision.candidates) },
--- a/src/bergamot-entry/packet_path.cpp
+++ b/src/bergamot-entry/packet_path.cpp
@@ -3,6 +3,7 @@
 #include "libbergamotio/connect_probe.h"
 #include "libbergamotio/log.h"
 
+#include <algorithm>
 #include <array>
 
 namespace bergamotroute {
@@ -16,6 +17,8 @@
     /// time, which is shorter than the time after which clients give up.
     constexpr std::size_t maxHeldPackets = 2048;
     constexpr Duration heldLifetime { 500 };
+    /// Limit on the number of first packets that wait for room; flow admission has a lower one.
+    constexpr std::size_t maxWaitingPackets = 1024;
     /// Interval at which suspected targets are checked for a due probe while no packets arrive.
     constexpr Duration probeCheckInterval { 100 };
 
@@ -38,6 +41,11 @@
     , m_heldPackets(maxHeldPackets, heldLifetime)
     , m_batchTime(registry, "bergamot_entry_packet_seconds", "Time from receiving a batch of packets to forwarding it.")
     , m_heldTimer(loop, [this] { retryHeldPackets(); })
+    , m_releaseTimer(loop,
+          [this] {
+              releaseWaitingPackets();
+              m_socket.flush();
+          })
     , m_probeTimer(loop, [this] { startProbes(); })
 {
 }
@@ -63,6 +71,7 @@
         if (count < UdpSocket::batchSize)
             break;
     }
+    releaseWaitingPackets();
     m_socket.flush();
     m_batchTime.observe(std::chrono::steady_clock::now() - begin);
     startProbes();
@@ -108,13 +117,32 @@
         m_heldTimer.startAt(m_heldPackets.nextDeadline());
 }
 
-void PacketPath::retryHeldPackets()
+void PacketPath::keepWaiting(const FlowPacket& packet, std::span<const std::byte> datagram)
 {
-    if (m_heldPackets.isEmpty())
+    if (m_waitingPackets.size() >= maxWaitingPackets && !m_waitingPackets.contains(packet.flow)) {
+        ++m_counters.dropped;
         return;
+    }
+    m_waitingPackets[packet.flow].assign(datagram.begin(), datagram.end());
+}
+
+void PacketPath::releaseWaitingPackets()
+{
+    for (const FlowRelease& release : m_steering.takeReleases(m_loop.now())) {
+        const auto waiting = m_waitingPackets.extract(release.packet.flow);
+        if (!waiting.empty() && !apply(release.packet, waiting.mapped(), release.decision, false))
+            hold(waiting.mapped());
+    }
+    if (const std::optional<TimePoint> next = m_steering.nextRelease())
+        m_releaseTimer.startAt(std::max(m_loop.now(), *next));
+}
+
+void PacketPath::retryHeldPackets()
+{
     m_heldPackets.retry(m_loop.now(), [this](std::span<const std::byte> datagram, bool isLastAttempt) {
         return handleDatagram(datagram, isLastAttempt);
     });
+    releaseWaitingPackets();
     m_socket.flush();
     if (!m_heldPackets.isEmpty())
         m_heldTimer.startAt(m_heldPackets.nextDeadline());
@@ -127,26 +155,33 @@
         ++m_counters.malformed;
         return true;
     }
-    const SteeringDecision decision = m_steering.handlePacket(*packet, m_loop.now());
+    return apply(*packet, datagram, m_steering.handlePacket(*packet, m_loop.now()), isLastAttempt);
+}
+
+bool PacketPath::apply(
+    const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision, bool isLastAttempt)
+{
     switch (decision.action) {
     case SteeringAction::Forward:
-        forward(*packet, datagram, decision);
+        forward(packet, datagram, decision);
         break;
     case SteeringAction::Reset:
-        reset(*packet, decision);
+        reset(packet, decision);
         break;
     case SteeringAction::Hold:
         if (!isLastAttempt)
             return false;
         ++m_counters.dropped;
         break;
-    case SteeringAction::Drop:
     case SteeringAction::Wait:
+        keepWaiting(packet, datagram);
+        break;
+    case SteeringAction::Drop:
         ++m_counters.dropped;
         break;
     }
     if (decision.code != ResultCode::Ok)
-        m_decisionObserver(*packet, decision);
+        m_decisionObserver(packet, decision);
     return true;
 }
 
--- a/src/bergamot-entry/packet_path.h
+++ b/src/bergamot-entry/packet_path.h
@@ -2,7 +2,7 @@
 
 /// @file
 /// Path of packets through an entry host: receives the packets of clients, has them steered, and forwards, resets or
-/// holds them. Also probes the targets that do not respond.
+/// holds them, or keeps the first packets of flows that wait for room. Also probes the targets that do not respond.
 
 #include "bergamotroute/cookie_steering.h"
 #include "bergamotroute/held_packets.h"
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <prometheus/registry.h>
+#include <unordered_map>
 #include <vector>
 
 namespace bergamotroute {
@@ -46,7 +47,7 @@
     /// Sets the observer that is called after each batch of received packets.
     void setBatchObserver(BatchObserver observer) { m_batchObserver = std::move(observer); }
 
-    /// Decides again on the held packets; to be called when targets or routes have changed.
+    /// Decides again on the held packets and on the waiting flows; to be called when targets or routes have changed.
     void retryHeldPackets();
 
     const PacketCounters& counters() const { return m_counters; }
@@ -58,6 +59,13 @@
     void receive();
     /// @return false if the packet must be held and retried.
     bool handleDatagram(std::span<const std::byte> datagram, bool isLastAttempt);
+    /// Carries out a decision.
+    /// @return false if the packet must be held and retried.
+    bool apply(const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision,
+        bool isLastAttempt);
+    void keepWaiting(const FlowPacket& packet, std::span<const std::byte> datagram);
+    /// Carries out the decisions on waiting flows that are due.
+    void releaseWaitingPackets();
     void hold(std::span<const std::byte> datagram);
     void startProbes();
     void handleProbeOutcome(const ProbeRequest& request, ProbeOutcome outcome);
@@ -74,9 +82,12 @@
     std::unique_ptr<ReadWatch> m_watch;
     std::vector<std::byte> m_rewriteBuffer;
     HeldPackets m_heldPackets;
+    /// First packets of flows that wait for room; each is the latest copy.
+    std::unordered_map<FlowId, std::vector<std::byte>, FlowIdHash> m_waitingPackets;
     DurationHistogram m_batchTime;
     PacketCounters m_counters;
     Timer m_heldTimer;
+    Timer m_releaseTimer;
     Timer m_probeTimer;
 };
 
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -117,6 +117,26 @@
     std::uint64_t probes = 0;
 };
 
+/// New flows of one route that were refused for lack of room on the link.
+struct FlowRefusals {
+    /// Name of the route, or "other" beyond a bounded number of routes.
+    std::string route;
+    std::uint64_t noRoom = 0;
+    std::uint64_t waitedTooLong = 0;
+};
+
+/// State and counters of flow admission.
+struct AdmissionMetrics {
+    /// Open flows that are sending much, the bytes of the room that they claim, and the bytes of the whole room.
+    std::size_t bulkFlows = 0;
+    std::uint64_t claimedBytes = 0;
+    double roomBytes = 0;
+    /// First packets that wait now, and flows that have waited since the start of the process.
+    std::size_t waiting = 0;
+    std::uint64_t waited = 0;
+    std::vector<FlowRefusals> refusals;
+};
+
 /// Decides on the packets that one entry host receives.
 class CookieSteering {
 public:
@@ -174,6 +194,7 @@
     const Route* findRoute(std::uint32_t address, std::uint16_t port) const;
 
     const SteeringCounters& counters() const;
+    AdmissionMetrics admissionMetrics() const;
     std::size_t flowCount() const;
 
 private:
--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -108,6 +108,9 @@
     ControlHostRegained = 619,
     SettingsReloaded = 620,
     LogLinesDropped = 621,
+    FlowWaiting = 630,
+    FlowNoRoom = 631,
+    FlowWaitedTooLong = 632,
 
     // 7xx: transport and operator interface
     Unauthorized = 700,
--- /dev/null
+++ b/src/libbergamot/admission/flow_admission.cpp
@@ -0,0 +1,202 @@
+#include "admission/flow_admission.h"
+
+#include <algorithm>
+
+namespace bergamotroute {
+
+namespace {
+
+    /// Time for which the room's bytes occupy the link: half of the clients' retransmission timeout.
+    constexpr double roomSeconds = 0.1;
+    /// Part of the latency objective that a flow may wait; the client needs the rest for its next try.
+    constexpr int waitDivisor = 4;
+    constexpr Duration maxWait { 1000 };
+    /// For routes without a latency objective.
+    constexpr Duration defaultObjective { 1000 };
+    constexpr std::size_t maxWaitingFlows = 256;
+    /// Clients repeat a first packet for this time.
+    constexpr Duration firstPacketLifetime { 1400 };
+    constexpr std::size_t maxRememberedRefusals = 1024;
+    /// While small flows of a priority are refused, one of this number is admitted, so that no priority gets nothing.
+    constexpr std::uint32_t smallFlowsPerAdmission = 8;
+    constexpr std::size_t maxRouteLabels = 20;
+    constexpr const char* otherRoutes = "other";
+
+    Duration objectiveOf(const Route& route)
+    {
+        return route.latencyObjective.count() > 0 ? route.latencyObjective : defaultObjective;
+    }
+
+    Duration waitOf(const Route& route) { return std::min(maxWait, objectiveOf(route) / waitDivisor); }
+
+}
+
+void FlowAdmission::setDocument(const RoutingDocument& document)
+{
+    m_lowestPriority = 0;
+    std::map<RouteKey, std::shared_ptr<RouteDemand>> demands;
+    for (const Route& route : document.routes) {
+        m_lowestPriority = std::max(m_lowestPriority, route.priority);
+        const RouteKey key { route.address, route.port };
+        const auto known = m_demands.find(key);
+        if (known == m_demands.end())
+            continue;
+        known->second->setKind(route.kind);
+        demands.insert(*known);
+    }
+    m_demands = std::move(demands);
+}
+
+void FlowAdmission::setLink(double bytesPerSecond, Duration urgentDelay)
+{
+    m_roomBytes = bytesPerSecond * roomSeconds;
+    m_urgentDelay = urgentDelay;
+}
+
+std::shared_ptr<RouteDemand> FlowAdmission::demandOf(const Route& route)
+{
+    std::shared_ptr<RouteDemand>& demand = m_demands[{ route.address, route.port }];
+    if (!demand)
+        demand = std::make_shared<RouteDemand>(route.kind);
+    return demand;
+}
+
+FlowVerdict FlowAdmission::admit(const FlowId& flow, const std::shared_ptr<RouteDemand>& demand, TimePoint now)
+{
+    m_refused.erase(flow);
+    m_flows.open(flow, demand, now);
+    return FlowVerdict::Admit;
+}
+
+FlowVerdict FlowAdmission::refuse(const FlowId& flow, const std::string& route, FlowVerdict verdict, TimePoint now)
+{
+    if (m_refused.size() < maxRememberedRefusals)
+        m_refused[flow] = now + firstPacketLifetime;
+    const bool isLabelled = m_refusals.contains(route) || m_refusals.size() < maxRouteLabels;
+    const std::string label = isLabelled ? route : otherRoutes;
+    FlowRefusals& refusals = m_refusals[label];
+    refusals.route = label;
+    ++(verdict == FlowVerdict::RefuseNoRoom ? refusals.noRoom : refusals.waitedTooLong);
+    return verdict;
+}
+
+bool FlowAdmission::admitsSmall(const Route& route)
+{
+    // Each priority above the lowest one accepts the delay of another quarter of its objective.
+    const std::uint32_t level = m_lowestPriority > route.priority ? m_lowestPriority - route.priority : 0;
+    const int quarters = static_cast<int>(std::min<std::uint32_t>(level + 1, waitDivisor));
+    if (m_urgentDelay < objectiveOf(route) / waitDivisor * quarters)
+        return true;
+    return ++m_smallRefusals % smallFlowsPerAdmission == 0;
+}
+
+bool FlowAdmission::hasRoomFor(const RouteDemand& demand) const
+{
+    return m_flows.claimCount() == 0
+        || static_cast<double>(m_flows.claimedBytes() + demand.claimBytes()) <= m_roomBytes;
+}
+
+bool FlowAdmission::isHopeless(const WaitingFlow& flow, TimePoint now) const
+{
+    if (m_queue.size() >= maxWaitingFlows)
+        return true;
+    // A share of the room is kept for each priority, so its first flow may always wait.
+    if (!m_queue.hasPriority(flow.priority))
+        return false;
+    const double endRate = m_flows.endRate(now);
+    const double ahead = static_cast<double>(m_queue.countAhead(flow));
+    return endRate > 0 && ahead / endRate > std::chrono::duration<double>(flow.waitEnd - now).count();
+}
+
+FlowVerdict FlowAdmission::decide(const FlowPacket& packet, const Route& route, TimePoint now)
+{
+    const std::shared_ptr<RouteDemand> demand = demandOf(route);
+    if (WaitingFlow* waiting = m_queue.find(packet.flow)) {
+        waiting->packet = packet;
+        return FlowVerdict::Wait;
+    }
+    if (m_flows.isOpening(packet.flow, now))
+        return FlowVerdict::Admit;
+    // Another host may have forwarded the original of a retransmission that is unknown here.
+    const bool isUnknownRetransmission = packet.acknowledgement > 0 && !m_refused.contains(packet.flow);
+    if (isUnknownRetransmission)
+        return admit(packet.flow, demand, now);
+    if (!demand->isBulk()) {
+        if (admitsSmall(route))
+            return admit(packet.flow, demand, now);
+        return refuse(packet.flow, route.name, FlowVerdict::RefuseNoRoom, now);
+    }
+    m_flows.expireClaims(now);
+    if (m_queue.isEmpty() && hasRoomFor(*demand))
+        return admit(packet.flow, demand, now);
+    WaitingFlow flow { packet, demand, route.name, route.priority, now + objectiveOf(route), now + waitOf(route) };
+    if (isHopeless(flow, now))
+        return refuse(packet.flow, route.name, FlowVerdict::RefuseNoRoom, now);
+    ++m_waited;
+    m_queue.add(std::move(flow));
+    return FlowVerdict::Wait;
+}
+
+void FlowAdmission::observe(const FlowPacket& packet, const Route& route, TimePoint now)
+{
+    m_flows.observe(packet, demandOf(route), now);
+}
+
+std::vector<AdmissionRelease> FlowAdmission::takeReleases(TimePoint now)
+{
+    std::vector<AdmissionRelease> releases;
+    if (m_queue.isEmpty())
+        return releases;
+    m_flows.expireClaims(now);
+    while (const WaitingFlow* next = m_queue.next()) {
+        if (!hasRoomFor(*next->route))
+            break;
+        const WaitingFlow flow = m_queue.takeNext();
+        releases.push_back({ flow.packet, flow.routeName, admit(flow.packet.flow, flow.route, now) });
+    }
+    for (const WaitingFlow& flow : m_queue.takeOverdue(now)) {
+        // Room that is too small for the next flow in the queue may suffice for this one.
+        const FlowVerdict verdict = hasRoomFor(*flow.route)
+            ? admit(flow.packet.flow, flow.route, now)
+            : refuse(flow.packet.flow, flow.routeName, FlowVerdict::RefuseWaitedTooLong, now);
+        releases.push_back({ flow.packet, flow.routeName, verdict });
+    }
+    return releases;
+}
+
+std::vector<AdmissionRelease> FlowAdmission::releaseAll(TimePoint now)
+{
+    std::vector<AdmissionRelease> releases;
+    for (const WaitingFlow& flow : m_queue.takeAll())
+        releases.push_back({ flow.packet, flow.routeName, admit(flow.packet.flow, flow.route, now) });
+    return releases;
+}
+
+std::optional<TimePoint> FlowAdmission::nextRelease() const
+{
+    const std::optional<TimePoint> waitEnd = m_queue.nextWaitEnd();
+    const std::optional<TimePoint> expiry = m_flows.nextExpiry();
+    return waitEnd && expiry ? std::min(*waitEnd, *expiry) : waitEnd;
+}
+
+void FlowAdmission::advance(TimePoint now)
+{
+    m_flows.expireClaims(now);
+    m_flows.expireFlows(now);
+    std::erase_if(m_refused, [now](const auto& item) { return now >= item.second; });
+}
+
+AdmissionMetrics FlowAdmission::metrics() const
+{
+    AdmissionMetrics metrics;
+    metrics.bulkFlows = m_flows.claimCount();
+    metrics.claimedBytes = m_flows.claimedBytes();
+    metrics.roomBytes = m_roomBytes;
+    metrics.waiting = m_queue.size();
+    metrics.waited = m_waited;
+    for (const auto& [route, refusals] : m_refusals)
+        metrics.refusals.push_back(refusals);
+    return metrics;
+}
+
+}
--- /dev/null
+++ b/src/libbergamot/admission/flow_admission.h
@@ -0,0 +1,104 @@
+#pragma once
+
+/// @file
+/// Admission of new flows on a host with a small link: flows that send much share the room that the link has, and wait
+/// for it or are refused before any of their packets is forwarded. docs/design/overload.md gives the reasons.
+
+#include "admission/admission_queue.h"
+#include "admission/bulk_flows.h"
+#include "bergamotroute/clock.h"
+#include "bergamotroute/cookie_steering.h"
+#include "bergamotroute/flow_packet.h"
+#include "bergamotroute/link_state.h"
+#include "bergamotroute/routing_document.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace bergamotroute {
+
+/// Outcome for a new flow.
+enum class FlowVerdict {
+    Admit,
+    Wait,
+    /// Refused at once, because the flow would not be admitted within the time that it may wait.
+    RefuseNoRoom,
+    /// Refused after its wait.
+    RefuseWaitedTooLong,
+};
+
+/// A waiting flow about which has been decided.
+struct AdmissionRelease {
+    /// Latest copy of the flow's first packet.
+    FlowPacket packet;
+    std::string routeName;
+    FlowVerdict verdict = FlowVerdict::Admit;
+};
+
+class FlowAdmission {
+public:
+    /// @param flowCapacity maximum number of flows that are tracked.
+    explicit FlowAdmission(std::size_t flowCapacity)
+        : m_flows(flowCapacity)
+    {
+    }
+
+    /// Applies the document in force.
+    void setDocument(const RoutingDocument& document);
+
+    /// @param bytesPerSecond rate at which packets may be sent to targets.
+    /// @param urgentDelay time that a first packet queued now waits before it is sent.
+    void setLink(double bytesPerSecond, Duration urgentDelay);
+
+    /// Decides on a first packet of a flow that has no target yet. The same flow may ask again.
+    FlowVerdict decide(const FlowPacket& packet, const Route& route, TimePoint now);
+
+    /// Counts a later packet of a flow.
+    void observe(const FlowPacket& packet, const Route& route, TimePoint now);
+
+    /// @return waiting flows that are admitted now, or refused because their wait has ended.
+    std::vector<AdmissionRelease> takeReleases(TimePoint now);
+
+    /// Admits all waiting flows, because admission is no longer in force.
+    std::vector<AdmissionRelease> releaseAll(TimePoint now);
+
+    /// @return the time at which takeReleases() is due at the latest, or nothing if no flow waits.
+    std::optional<TimePoint> nextRelease() const;
+
+    /// Removes expired state; to be called a few times per second.
+    void advance(TimePoint now);
+
+    AdmissionMetrics metrics() const;
+
+private:
+    using RouteKey = std::pair<std::uint32_t, std::uint16_t>;
+
+    std::shared_ptr<RouteDemand> demandOf(const Route& route);
+    FlowVerdict admit(const FlowId& flow, const std::shared_ptr<RouteDemand>& demand, TimePoint now);
+    FlowVerdict refuse(const FlowId& flow, const std::string& route, FlowVerdict verdict, TimePoint now);
+    bool admitsSmall(const Route& route);
+    bool hasRoomFor(const RouteDemand& demand) const;
+    bool isHopeless(const WaitingFlow& flow, TimePoint now) const;
+
+    BulkFlows m_flows;
+    AdmissionQueue m_queue;
+    std::map<RouteKey, std::shared_ptr<RouteDemand>> m_demands;
+    /// Flows that this host has refused, by the time until which their first packet may be repeated.
+    std::unordered_map<FlowId, TimePoint, FlowIdHash> m_refused;
+    /// By route, of which a bounded number is told apart.
+    std::map<std::string, FlowRefusals> m_refusals;
+    double m_roomBytes = 0;
+    Duration m_urgentDelay { 0 };
+    std::uint32_t m_lowestPriority = 0;
+    std::uint32_t m_smallRefusals = 0;
+    std::uint64_t m_waited = 0;
+};
+
+}
--- a/src/libbergamot/base/result_code.cpp
+++ b/src/libbergamot/base/result_code.cpp
@@ -156,6 +156,16 @@
         { ResultCode::LogLinesDropped, "LogLinesDropped",
             "Log lines were dropped because the log could not be written fast enough; the log line contains their "
             "number." },
+        { ResultCode::FlowWaiting, "FlowWaiting",
+            "A new flow waits for room on the link of this entry host, for at most a quarter of its route's latency "
+            "objective." },
+        { ResultCode::FlowNoRoom, "FlowNoRoom",
+            "The link of this entry host has no room for a new flow within the time that the flow may wait; the flow "
+            "was "
+            "refused before any of its packets was forwarded." },
+        { ResultCode::FlowWaitedTooLong, "FlowWaitedTooLong",
+            "A new flow has waited for room on the link of this entry host for as long as it may; the flow was refused "
+            "before any of its packets was forwarded." },
         { ResultCode::Unauthorized, "Unauthorized", "The bearer token is missing or wrong." },
         { ResultCode::DeadlineExceeded, "DeadlineExceeded", "No answer was received before the deadline." },
         { ResultCode::ConnectionLost, "ConnectionLost", "The connection was closed before an answer was received." },
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -1,5 +1,6 @@
 #include "bergamotroute/cookie_steering.h"
 
+#include "admission/flow_admission.h"
 #include "cookie/first_packet_steering.h"
 #include "cookie/steering_decisions.h"
 
@@ -38,7 +39,9 @@
         , placement({}, options.host, options.dataCentre)
         , reachability(pool, options.dataCentre)
         , firstPackets(routes, pool, flows, placement, reachability, counters)
+        , admission(options.flowCapacity)
     {
+        updateOverload();
     }
 
     SteeringDecision handleSubsequentPacket(const FlowPacket& packet, TimePoint now);
@@ -48,6 +51,9 @@
     /// @return true if this host's own observations of targets are not reliable.
     bool isOverloaded() const { return controlsOverload() && linkState.isOverloaded; }
     void updateOverload();
+    SteeringDecision handleFirstPacket(const FlowPacket& packet, TimePoint now);
+    /// @return the decision on a first packet about whose flow admission has decided.
+    SteeringDecision decide(const FlowPacket& packet, std::string_view route, FlowVerdict verdict, TimePoint now);
     PooledTarget* findTarget(const std::string& id) const;
 
     CookieSteeringOptions options;
@@ -61,6 +67,9 @@
     /// The document in force has routes with large requests.
     bool hasUploads = false;
     FirstPacketSteering firstPackets;
+    FlowAdmission admission;
+    /// Keeps the names in the decisions that takeReleases() has returned.
+    std::vector<AdmissionRelease> releases;
     std::uint64_t reportSequence = 0;
 };
 
@@ -68,6 +77,41 @@
 {
     reachability.setOverloaded(isOverloaded());
     firstPackets.setOverload(controlsOverload(), isOverloaded());
+    const double bytesPerSecond = linkState.bytesPerSecond > 0 ? linkState.bytesPerSecond : options.linkBytesPerSecond;
+    admission.setLink(bytesPerSecond, linkState.urgentDelay);
+}
+
+SteeringDecision CookieSteering::Implementation::decide(
+    const FlowPacket& packet, std::string_view route, FlowVerdict verdict, TimePoint now)
+{
+    SteeringDecision decision;
+    switch (verdict) {
+    case FlowVerdict::Admit:
+        return firstPackets.handle(packet, now);
+    case FlowVerdict::Wait:
+        decision.action = SteeringAction::Wait;
+        decision.code = ResultCode::FlowWaiting;
+        break;
+    case FlowVerdict::RefuseNoRoom:
+        decision = refuse(packet, ResultCode::FlowNoRoom);
+        break;
+    case FlowVerdict::RefuseWaitedTooLong:
+        decision = refuse(packet, ResultCode::FlowWaitedTooLong);
+        break;
+    }
+    decision.route = route;
+    decision.retransmission = packet.acknowledgement;
+    return decision;
+}
+
+SteeringDecision CookieSteering::Implementation::handleFirstPacket(const FlowPacket& packet, TimePoint now)
+{
+    const Route* route
+        = controlsOverload() ? routes.find(packet.flow.serviceAddress, packet.flow.servicePort) : nullptr;
+    // The first packet of an opening flow has been forwarded, so the flow is not refused.
+    if (!route || flows.isOpening(packet.flow))
+        return firstPackets.handle(packet, now);
+    return decide(packet, route->name, admission.decide(packet, *route, now), now);
 }
 
 SteeringDecision CookieSteering::Implementation::refuseUnreachable(const FlowPacket& packet, const PooledTarget& target)
@@ -93,6 +137,10 @@
 
 SteeringDecision CookieSteering::Implementation::handleSubsequentPacket(const FlowPacket& packet, TimePoint now)
 {
+    if (controlsOverload()) {
+        if (const Route* route = routes.find(packet.flow.serviceAddress, packet.flow.servicePort))
+            admission.observe(packet, *route, now);
+    }
     PooledTarget* target = pool.findByCookie(packet.cookie);
     if (!target) {
         ++counters.cookieUnknown;
@@ -142,6 +190,7 @@
     if (!self.routes.install(std::move(document)))
         return false;
     self.hasUploads = self.routes.document().hasUploads();
+    self.admission.setDocument(self.routes.document());
     self.updateOverload();
     return true;
 }
@@ -153,7 +202,7 @@
 
 SteeringDecision CookieSteering::handlePacket(const FlowPacket& packet, TimePoint now)
 {
-    return packet.isFirst() ? m_implementation->firstPackets.handle(packet, now)
+    return packet.isFirst() ? m_implementation->handleFirstPacket(packet, now)
                             : m_implementation->handleSubsequentPacket(packet, now);
 }
 
@@ -210,9 +259,23 @@
     m_implementation->updateOverload();
 }
 
-std::vector<FlowRelease> CookieSteering::takeReleases(TimePoint) { return {}; }
+std::vector<FlowRelease> CookieSteering::takeReleases(TimePoint now)
+{
+    Implementation& self = *m_implementation;
+    self.releases = self.controlsOverload() ? self.admission.takeReleases(now) : self.admission.releaseAll(now);
+    std::vector<FlowRelease> decisions;
+    for (const AdmissionRelease& release : self.releases) {
+        decisions.push_back({ release.packet, self.decide(release.packet, release.routeName, release.verdict, now) });
+    }
+    return decisions;
+}
 
-std::optional<TimePoint> CookieSteering::nextRelease() const { return std::nullopt; }
+std::optional<TimePoint> CookieSteering::nextRelease() const
+{
+    const std::optional<TimePoint> next = m_implementation->admission.nextRelease();
+    // Without control of overload, waiting flows are placed at once.
+    return next && !controlsOverload() ? TimePoint {} : next;
+}
 
 void CookieSteering::advance(TimePoint now)
 {
@@ -220,6 +283,7 @@
     const Duration configured = self.routes.document().idleTimeout;
     const Duration idle = configured.count() > 0 ? configured : self.options.maxFlowAge;
     self.flows.expire(idle, self.options.maxFlowAge, now);
+    self.admission.advance(now);
     self.pool.expireReports(now);
     // The state of every flow is younger than this, so none refers to a removed target.
     self.reachability.prune();
@@ -235,6 +299,8 @@
 
 const SteeringCounters& CookieSteering::counters() const { return m_implementation->counters; }
 
+AdmissionMetrics CookieSteering::admissionMetrics() const { return m_implementation->admission.metrics(); }
+
 std::size_t CookieSteering::flowCount() const { return m_implementation->flows.size(); }
 
 }
--- a/src/libbergamot/cookie/flow_table.cpp
+++ b/src/libbergamot/cookie/flow_table.cpp
@@ -28,6 +28,12 @@
     return found == m_flows.end() ? nullptr : &found->second;
 }
 
+bool FlowTable::isOpening(const FlowId& flow) const
+{
+    const auto found = m_flows.find(flow);
+    return found != m_flows.end() && !found->second.established && !found->second.closed;
+}
+
 bool FlowTable::isCounted(const FlowState& state)
 {
     return !state.closed && state.target && state.targetStartTimeMs == state.target->startTimeMs;
--- a/src/libbergamot/cookie/flow_table.h
+++ b/src/libbergamot/cookie/flow_table.h
@@ -46,6 +46,9 @@
 
     FlowState* find(const FlowId& flow);
 
+    /// @return true if a first packet of the flow has been sent to a target and no later one has come.
+    bool isOpening(const FlowId& flow) const;
+
     /// Tracks a flow that was assigned to a target and replaces the flow's previous state.
     /// @return null if the table is full.
     FlowState* assign(const FlowId& flow, PooledTarget& target, TimePoint now);
--- a/src/libbergamot/overload/steering_fixture.h
+++ b/src/libbergamot/overload/steering_fixture.h
@@ -138,7 +138,7 @@
     {
         schema::TargetLoadReport report;
         report.set_host("entry-2");
-        report.set_sequence(++sequence);
+        report.set_sequence(++reportSequence);
         report.set_data_centre("a");
         report.set_valid_ms(10'000);
         report.set_overloaded(isOverloaded);
@@ -163,7 +163,7 @@
         return false;
     }
 
-    std::uint64_t sequence = 0;
+    std::uint64_t reportSequence = 0;
 };
 
 }
