--- a/src/bergamot-entry/packet_path.h
+++ b/src/bergamot-entry/packet_path.h
@@ -2,7 +2,7 @@
 
 /// @file
 /// Path of packets through an entry host: receives the packets of clients, has them steered, and forwards, resets or
-/// holds them. Also probes the targets that do not respond.
+/// holds them, or keeps the first packets of flows that wait for room. Also probes the targets that do not respond.
 
 #include "bergamot-entry/paced_sender.h"
 #include "bergamotroute/cookie_steering.h"
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <prometheus/registry.h>
+#include <unordered_map>
 #include <vector>
 
 namespace bergamotroute {
@@ -52,7 +53,7 @@
     /// Sets the source of the traffic of other sockets on the host's link.
     void setOtherTraffic(PacedSender::TrafficSource source) { m_sender.setOtherTraffic(std::move(source)); }
 
-    /// Decides again on the held packets; to be called when targets or routes have changed.
+    /// Decides again on the held packets and on the waiting flows; to be called when targets or routes have changed.
     void retryHeldPackets();
 
     /// Sends all queued packets without a wait, because the process ends.
@@ -69,6 +70,13 @@
     void receive();
     /// @return false if the packet must be held and retried.
     bool handleDatagram(std::span<const std::byte> datagram, bool isLastAttempt);
+    /// Carries out a decision.
+    /// @return false if the packet must be held and retried.
+    bool apply(const FlowPacket& packet, std::span<const std::byte> datagram, const SteeringDecision& decision,
+        bool isLastAttempt);
+    void keepWaiting(const FlowPacket& packet, std::span<const std::byte> datagram);
+    /// Carries out the decisions on waiting flows that are due.
+    void releaseWaitingPackets();
     void hold(std::span<const std::byte> datagram);
     void startProbes();
     void handleProbeOutcome(const ProbeRequest& request, ProbeOutcome outcome);
@@ -86,9 +94,12 @@
     std::unique_ptr<ReadWatch> m_watch;
     std::vector<std::byte> m_rewriteBuffer;
     HeldPackets m_heldPackets;
+    /// First packets of flows that wait for room; each is the latest copy.
+    std::unordered_map<FlowId, std::vector<std::byte>, FlowIdHash> m_waitingPackets;
     DurationHistogram m_batchTime;
     PacketCounters m_counters;
     Timer m_heldTimer;
+    Timer m_releaseTimer;
     Timer m_probeTimer;
 };
 
--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -115,6 +115,9 @@
     SettingsReloaded = 620,
     LogLinesDropped = 621,
     FlowSlowStartLimited = 625,
+    FlowWaiting = 626,
+    FlowNoRoom = 627,
+    FlowWaitedTooLong = 628,
     LinkOverloaded = 630,
     LinkRecovered = 631,
 
--- a/src/libbergamot/base/result_code.cpp
+++ b/src/libbergamot/base/result_code.cpp
@@ -172,6 +172,16 @@
         { ResultCode::FlowSlowStartLimited, "FlowSlowStartLimited",
             "Each target of the service that accepts new flows is in slow start, and this host may not send the flow "
             "to any of them; the flow was refused so that the client tries again through another host." },
+        { ResultCode::FlowWaiting, "FlowWaiting",
+            "A new flow waits for room on the link of this entry host, for at most a quarter of its route's latency "
+            "objective." },
+        { ResultCode::FlowNoRoom, "FlowNoRoom",
+            "The link of this entry host has no room for a new flow within the time that the flow may wait; the flow "
+            "was "
+            "refused before any of its packets was forwarded." },
+        { ResultCode::FlowWaitedTooLong, "FlowWaitedTooLong",
+            "A new flow has waited for room on the link of this entry host for as long as it may; the flow was refused "
+            "before any of its packets was forwarded." },
         { ResultCode::LinkOverloaded, "LinkOverloaded",
             "The link of this entry host is full in one direction or packets wait in its queue; the host does not "
             "judge "
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -1,5 +1,6 @@
 #include "bergamotroute/cookie_steering.h"
 
+#include "admission/flow_admission.h"
 #include "cookie/first_packet_steering.h"
 #include "cookie/slow_start_limit.h"
 #include "cookie/steering_decisions.h"
@@ -14,11 +15,11 @@
     /// A target that is gone may still be sending its last responses; its flows are reset only after this time.
     constexpr Duration resetDelayAfterGone { 300 };
 
-    void markResponsive(PooledTarget& target, TimePoint now)
+    void markResponsive(PooledTarget& target, bool wasFull, TimePoint now)
     {
         target.avoidUntil = {};
         target.avoidCount = 0;
-        target.reachability.recordResponse(now);
+        target.reachability.recordResponse(now, wasFull);
     }
 
 }
@@ -41,14 +42,23 @@
         , slowStartLimit(
               { options.host, options.slowStartFactor, options.slowStartAllowance, options.targetHeartbeat }, pool)
         , firstPackets(routes, pool, flows, placement, reachability, slowStartLimit, counters)
+        , admission(options.flowCapacity)
     {
         flows.setObserver(&slowStartLimit);
         placement.setSlowStartLimit(&slowStartLimit);
+        updateOverload();
     }
 
     SteeringDecision handleSubsequentPacket(const FlowPacket& packet, TimePoint now);
     SteeringDecision refuseUnreachable(const FlowPacket& packet, const PooledTarget& target);
     bool isIdempotent(const FlowId& flow) const;
+    bool controlsOverload() const { return options.linkBytesPerSecond > 0 && hasUploads; }
+    /// @return true if this host's own observations of targets are not reliable.
+    bool isOverloaded() const { return controlsOverload() && linkState.isOverloaded; }
+    void updateOverload();
+    SteeringDecision handleFirstPacket(const FlowPacket& packet, TimePoint now);
+    /// @return the decision on a first packet about whose flow admission has decided.
+    SteeringDecision decide(const FlowPacket& packet, std::string_view route, FlowVerdict verdict, TimePoint now);
     PooledTarget* findTarget(const std::string& id) const;
 
     CookieSteeringOptions options;
@@ -60,10 +70,56 @@
     SlowStartLimit slowStartLimit;
     SteeringCounters counters;
     LinkState linkState;
+    /// The document in force has routes with large requests.
+    bool hasUploads = false;
     FirstPacketSteering firstPackets;
+    FlowAdmission admission;
+    /// Keeps the names in the decisions that takeReleases() has returned.
+    std::vector<AdmissionRelease> releases;
     std::uint64_t reportSequence = 0;
 };
 
+void CookieSteering::Implementation::updateOverload()
+{
+    reachability.setOverloaded(isOverloaded());
+    firstPackets.setOverload(controlsOverload(), isOverloaded());
+    const double bytesPerSecond = linkState.bytesPerSecond > 0 ? linkState.bytesPerSecond : options.linkBytesPerSecond;
+    admission.setLink(bytesPerSecond, linkState.urgentDelay);
+}
+
+SteeringDecision CookieSteering::Implementation::decide(
+    const FlowPacket& packet, std::string_view route, FlowVerdict verdict, TimePoint now)
+{
+    SteeringDecision decision;
+    switch (verdict) {
+    case FlowVerdict::Admit:
+        return firstPackets.handle(packet, now);
+    case FlowVerdict::Wait:
+        decision.action = SteeringAction::Wait;
+        decision.code = ResultCode::FlowWaiting;
+        break;
+    case FlowVerdict::RefuseNoRoom:
+        decision = refuse(packet, ResultCode::FlowNoRoom);
+        break;
+    case FlowVerdict::RefuseWaitedTooLong:
+        decision = refuse(packet, ResultCode::FlowWaitedTooLong);
+        break;
+    }
+    decision.route = route;
+    decision.retransmission = packet.acknowledgement;
+    return decision;
+}
+
+SteeringDecision CookieSteering::Implementation::handleFirstPacket(const FlowPacket& packet, TimePoint now)
+{
+    const Route* route
+        = controlsOverload() ? routes.find(packet.flow.serviceAddress, packet.flow.servicePort) : nullptr;
+    // The first packet of an opening flow has been forwarded, so the flow is not refused.
+    if (!route || flows.isOpening(packet.flow))
+        return firstPackets.handle(packet, now);
+    return decide(packet, route->name, admission.decide(packet, *route, now), now);
+}
+
 SteeringDecision CookieSteering::Implementation::refuseUnreachable(const FlowPacket& packet, const PooledTarget& target)
 {
     ++counters.targetUnreachable;
@@ -87,6 +143,10 @@
 
 SteeringDecision CookieSteering::Implementation::handleSubsequentPacket(const FlowPacket& packet, TimePoint now)
 {
+    if (controlsOverload()) {
+        if (const Route* route = routes.find(packet.flow.serviceAddress, packet.flow.servicePort))
+            admission.observe(packet, *route, now);
+    }
     PooledTarget* target = pool.findByCookie(packet.cookie);
     if (!target) {
         ++counters.cookieUnknown;
@@ -106,14 +166,16 @@
         decision.service = target->service;
         return decision;
     }
+    const bool wasFull = target->isFull();
     const FlowObservation observation = flows.observe(packet, *target, now);
     const bool isReported = target->reachability.isReported() && packet.payloadBytes > 0;
     if (observation == FlowObservation::Responded)
-        markResponsive(*target, now);
+        markResponsive(*target, wasFull, now);
     else if (observation == FlowObservation::Retransmitted || isReported)
         reachability.suspect(*target, now);
     // Data sent to an unreachable target is lost. A reset lets the client retry an idempotent request at once.
-    if (target->reachability.isUnreachable() && packet.payloadBytes > 0 && isIdempotent(packet.flow))
+    const bool canReset = target->reachability.isUnreachable() && !isOverloaded();
+    if (canReset && packet.payloadBytes > 0 && isIdempotent(packet.flow))
         return refuseUnreachable(packet, *target);
     ++counters.forwarded;
     SteeringDecision decision = forwardTo(*target, ResultCode::Ok);
@@ -130,9 +192,13 @@
 
 bool CookieSteering::installDocument(RoutingDocument document)
 {
-    if (!m_implementation->routes.install(std::move(document)))
+    Implementation& self = *m_implementation;
+    if (!self.routes.install(std::move(document)))
         return false;
-    m_implementation->slowStartLimit.setDocument(m_implementation->routes.document());
+    self.hasUploads = self.routes.document().hasUploads();
+    self.slowStartLimit.setDocument(self.routes.document());
+    self.admission.setDocument(self.routes.document());
+    self.updateOverload();
     return true;
 }
 
@@ -162,7 +228,7 @@
 
 SteeringDecision CookieSteering::handlePacket(const FlowPacket& packet, TimePoint now)
 {
-    return packet.isFirst() ? m_implementation->firstPackets.handle(packet, now)
+    return packet.isFirst() ? m_implementation->handleFirstPacket(packet, now)
                             : m_implementation->handleSubsequentPacket(packet, now);
 }
 
@@ -186,7 +252,7 @@
 {
     std::vector<FlowReset> resets;
     const PooledTarget* target = m_implementation->findTarget(id);
-    if (!target || !target->reachability.isUnreachable())
+    if (!target || !target->reachability.isUnreachable() || m_implementation->isOverloaded())
         return resets;
     const auto isIdempotent = [this](const FlowId& flow) { return m_implementation->isIdempotent(flow); };
     for (const auto& [flow, acknowledgement] : m_implementation->flows.closePending(*target, isIdempotent)) {
@@ -210,19 +276,35 @@
     report.set_host(m_implementation->options.host);
     report.set_data_centre(m_implementation->options.dataCentre);
     report.set_sequence(++m_implementation->reportSequence);
+    report.set_overloaded(m_implementation->isOverloaded());
     return report;
 }
 
-bool CookieSteering::controlsOverload() const
+bool CookieSteering::controlsOverload() const { return m_implementation->controlsOverload(); }
+
+void CookieSteering::setLinkState(const LinkState& state)
 {
-    return m_implementation->options.linkBytesPerSecond > 0 && m_implementation->routes.document().hasUploads();
+    m_implementation->linkState = state;
+    m_implementation->updateOverload();
 }
 
-void CookieSteering::setLinkState(const LinkState& state) { m_implementation->linkState = state; }
-
-std::vector<FlowRelease> CookieSteering::takeReleases(TimePoint) { return {}; }
+std::vector<FlowRelease> CookieSteering::takeReleases(TimePoint now)
+{
+    Implementation& self = *m_implementation;
+    self.releases = self.controlsOverload() ? self.admission.takeReleases(now) : self.admission.releaseAll(now);
+    std::vector<FlowRelease> decisions;
+    for (const AdmissionRelease& release : self.releases) {
+        decisions.push_back({ release.packet, self.decide(release.packet, release.routeName, release.verdict, now) });
+    }
+    return decisions;
+}
 
-std::optional<TimePoint> CookieSteering::nextRelease() const { return std::nullopt; }
+std::optional<TimePoint> CookieSteering::nextRelease() const
+{
+    const std::optional<TimePoint> next = m_implementation->admission.nextRelease();
+    // Without control of overload, waiting flows are placed at once.
+    return next && !controlsOverload() ? TimePoint {} : next;
+}
 
 void CookieSteering::advance(TimePoint now)
 {
@@ -230,6 +312,7 @@
     const Duration configured = self.routes.document().idleTimeout;
     const Duration idle = configured.count() > 0 ? configured : self.options.maxFlowAge;
     self.flows.expire(idle, self.options.maxFlowAge, now);
+    self.admission.advance(now);
     self.pool.expireReports(now);
     self.slowStartLimit.advance(now);
     // The state of every flow is younger than this, so none refers to a removed target.
@@ -251,6 +334,8 @@
     return m_implementation->slowStartLimit.status(now);
 }
 
+AdmissionMetrics CookieSteering::admissionMetrics() const { return m_implementation->admission.metrics(); }
+
 std::size_t CookieSteering::flowCount() const { return m_implementation->flows.size(); }
 
 }
--- a/src/libbergamot/cookie/first_packet_steering.cpp
+++ b/src/libbergamot/cookie/first_packet_steering.cpp
@@ -61,18 +61,30 @@
     return isCounted && target.takesNewFlows() && target.service == service;
 }
 
+bool FirstPacketSteering::keepsTarget(const FlowPacket& packet, const PooledTarget& previous, bool isUnresponsive) const
+{
+    if (m_isOverloaded)
+        return !previous.reachability.isUnreachable();
+    return !isUnresponsive && packet.acknowledgement <= maxRetransmissionsToSameTarget;
+}
+
 SteeringDecision FirstPacketSteering::placeAgain(
     const FlowPacket& packet, const std::string& service, FlowState& existing, TimePoint now)
 {
     PooledTarget& previous = *existing.target;
     const bool isUnresponsive = previous.reachability.lastResponse() < existing.lastPlaced;
     if (isUnresponsive) {
-        avoid(previous, now);
+        if (!m_isOverloaded)
+            avoid(previous, now);
         m_reachability.suspect(previous, now);
     }
-    const bool keepsTarget = !isUnresponsive && packet.acknowledgement <= maxRetransmissionsToSameTarget
-        && mayRepeat(existing, service, now);
-    if (keepsTarget) {
+    const bool isUsable = mayRepeat(existing, service, now);
+    bool keepsPrevious = isUsable && keepsTarget(packet, previous, isUnresponsive);
+    if (!keepsPrevious && m_controlsOverload && !m_retryBudget.take(now) && isUsable) {
+        ++m_counters.secondChoicesDenied;
+        keepsPrevious = true;
+    }
+    if (keepsPrevious) {
         existing.lastSeen = now;
         return forwardTo(previous, ResultCode::FlowPlaced);
     }
@@ -92,6 +104,8 @@
 SteeringDecision FirstPacketSteering::handle(const FlowPacket& packet, TimePoint now)
 {
     ++m_counters.firstPackets;
+    if (m_controlsOverload && packet.acknowledgement == 0)
+        m_retryBudget.countFirstPacket(now);
     const Route* route = m_routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
     if (!route) {
         SteeringDecision unknown = refuse(packet, ResultCode::FlowRouteUnknown);
--- a/src/libbergamot/cookie/first_packet_steering.h
+++ b/src/libbergamot/cookie/first_packet_steering.h
@@ -9,6 +9,7 @@
 #include "cookie/reachability_monitor.h"
 #include "cookie/slow_start_limit.h"
 #include "cookie/target_pool.h"
+#include "overload/retry_budget.h"
 
 namespace bergamotroute {
 
@@ -27,6 +28,14 @@
     {
     }
 
+    /// @param controlsOverload second choices are limited by a budget.
+    /// @param isOverloaded a missing response does not speak against a target, because this host's link is full.
+    void setOverload(bool controlsOverload, bool isOverloaded)
+    {
+        m_controlsOverload = controlsOverload;
+        m_isOverloaded = isOverloaded;
+    }
+
     /// Decides on a first packet. Views in the result are valid until the targets or the routes change.
     SteeringDecision handle(const FlowPacket& packet, TimePoint now);
 
@@ -38,6 +47,7 @@
     /// @return true if a first packet may be sent to the flow's target again as the same request.
     bool mayRepeat(const FlowState& flow, const std::string& service, TimePoint now) const;
     void avoid(PooledTarget& target, TimePoint now);
+    bool keepsTarget(const FlowPacket& packet, const PooledTarget& previous, bool isUnresponsive) const;
 
     const RouteTable& m_routes;
     TargetPool& m_pool;
@@ -46,6 +56,9 @@
     ReachabilityMonitor& m_reachability;
     SlowStartLimit& m_slowStartLimit;
     SteeringCounters& m_counters;
+    RetryBudget m_retryBudget;
+    bool m_controlsOverload = false;
+    bool m_isOverloaded = false;
 };
 
 }
