Show what an entry host has learned of its targets on metrics, a page and bergamotctl target capacity

Cause: an operator who sees late requests has to find out which targets are slow and whether the hosts know it. Change: metrics of the slowest, slow and limited targets and of samples used and dropped; GET /targets on the metrics listener; the command prints that page.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -1,6 +1,7 @@
 #include "bergamot-entry/cookie_entry_daemon.h"
 
 #include "bergamotroute/routing_record.h"
+#include "libbergamotio/json_schema.h"
 #include "libbergamotio/log.h"
 #include "libbergamotio/metrics.h"
 #include "libbergamotio/process_time.h"
@@ -144,6 +145,9 @@
     m_metricsServer.route("GET", "/metrics", HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
         exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
     });
+    m_metricsServer.route("GET", "/targets", HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->reply(HttpStatus::Ok, toJson(m_steering.targetCapacities(m_loop.now()), false), "application/json");
+    });
     const std::string metricsText = hostAndPort(m_settings.address(), m_settings.metrics_port());
     error = m_metricsServer.listen(parseEndpoint(metricsText));
     check(metricsText);
--- a/src/bergamot-entry/entry_metrics.cpp
+++ b/src/bergamot-entry/entry_metrics.cpp
@@ -47,6 +47,22 @@
         static_cast<double>(counters.cookieUnknown));
     add("targets_avoided_total", "Times a target was avoided because first packets got no response.",
         static_cast<double>(counters.avoidedTargets));
+    const CapacitySummary capacity = m_steering.capacitySummary();
+    add("max_target_slowness", "Learned response time of the slowest target relative to a typical one; 1 is typical.",
+        capacity.maxSlowness);
+    add("slow_targets", "Targets that are learned to be more than twice as slow as a typical one.",
+        static_cast<double>(capacity.slowTargets));
+    add("limited_targets", "Targets with a limit on outstanding requests, because they have refused some.",
+        static_cast<double>(capacity.limitedTargets));
+    add("capacity_samples_total", "Response times that were used to learn the capacity of targets.",
+        static_cast<double>(capacity.samples));
+    add("capacity_refusals_total", "Responses that were taken for refusals of a full target.",
+        static_cast<double>(capacity.refusals));
+    add("capacity_samples_overloaded_total", "Response times dropped because the link of this host was overloaded.",
+        static_cast<double>(capacity.droppedOverloaded));
+    add("capacity_samples_ambiguous_total",
+        "Response times dropped because packets were retransmitted or have passed another host.",
+        static_cast<double>(capacity.droppedAmbiguous));
     add("flows", "Flows in the flow table.", static_cast<double>(m_steering.flowCount()));
     add("document_version", "Version of the routing document in force on this host.",
         static_cast<double>(m_steering.documentVersion()));
--- a/src/bergamotctl/commands.h
+++ b/src/bergamotctl/commands.h
@@ -65,6 +65,14 @@
 /// @return the state of an entry host in lower case.
 std::string memberText(schema::MemberState state);
 
+/// @return the endpoint of a host in the settings or the flags by its name or endpoint; empty if there is none.
+std::string findEndpoint(const Session& session, const std::string& host);
+
+/// Sends a GET to a host in the settings or the flags. Prints a fault.
+/// @param[out] status set to the status of the command if there is no answer with 200.
+std::optional<HttpAnswer> askHost(
+    Session& session, const std::string& host, const std::string& path, ExitStatus& status);
+
 /// Prints the table of control hosts.
 void printControlHosts(Session& session, const std::vector<ControlAnswer>& answers);
 
@@ -94,6 +102,7 @@
 ExitStatus runBackendWeight(Session& session, Arguments arguments);
 ExitStatus runBackendMaintenance(Session& session, Arguments arguments);
 ExitStatus runBackendRemove(Session& session, Arguments arguments);
+ExitStatus runTargetCapacity(Session& session, Arguments arguments);
 ExitStatus runStatus(Session& session, Arguments arguments);
 ExitStatus runDataCentreStop(Session& session, Arguments arguments);
 ExitStatus runDataCentreStart(Session& session, Arguments arguments);
--- a/src/bergamotctl/observe_commands.cpp
+++ b/src/bergamotctl/observe_commands.cpp
@@ -16,17 +16,6 @@
     /// A control host answers a watch within 20 s.
     constexpr std::chrono::milliseconds watchTimeout { 25'000 };
 
-    std::string findEndpoint(const Session& session, const std::string& host)
-    {
-        for (const auto* list : { &session.settings().entry_hosts(), &session.settings().control_hosts() }) {
-            for (const schema::OperatorEndpoint& entry : *list) {
-                if (entry.host() == host || entry.endpoint() == host)
-                    return entry.endpoint();
-            }
-        }
-        return {};
-    }
-
     void addEntryRow(Table& table, const schema::LogEntry& entry)
     {
         const schema::Command& command = entry.command();
@@ -47,24 +36,45 @@
 
 }
 
-ExitStatus runDump(Session& session, Arguments arguments)
+std::string findEndpoint(const Session& session, const std::string& host)
 {
-    const std::string endpoint = findEndpoint(session, arguments[0]);
-    if (endpoint.empty()) {
-        session.err() << "host '" << arguments[0] << "' is not in the settings; see --entry and --control\n";
-        return ExitStatus::Usage;
-    }
-    const HttpAnswer answer = session.sendTo(endpoint, "/v1/state");
-    if (answer.status == 0) {
-        session.err() << arguments[0] << ": " << answer.error.message() << '\n';
-        return ExitStatus::NotReachable;
+    for (const auto* list : { &session.settings().entry_hosts(), &session.settings().control_hosts() }) {
+        for (const schema::OperatorEndpoint& entry : *list) {
+            if (entry.host() == host || entry.endpoint() == host)
+                return entry.endpoint();
+        }
     }
-    if (answer.status != 200) {
-        session.err() << arguments[0] << ": HTTP status " << answer.status << '\n';
-        return ExitStatus::Failed;
+    return {};
+}
+
+std::optional<HttpAnswer> askHost(
+    Session& session, const std::string& host, const std::string& path, ExitStatus& status)
+{
+    const std::string endpoint = findEndpoint(session, host);
+    if (endpoint.empty()) {
+        session.err() << "host '" << host << "' is not in the settings; see --entry and --control\n";
+        status = ExitStatus::Usage;
+        return std::nullopt;
     }
+    HttpAnswer answer = session.sendTo(endpoint, path);
+    if (answer.status == 200)
+        return answer;
+    status = answer.status == 0 ? ExitStatus::NotReachable : ExitStatus::Failed;
+    if (answer.status == 0)
+        session.err() << host << ": " << answer.error.message() << '\n';
+    else
+        session.err() << host << ": HTTP status " << answer.status << '\n';
+    return std::nullopt;
+}
+
+ExitStatus runDump(Session& session, Arguments arguments)
+{
+    ExitStatus status = ExitStatus::Done;
+    const std::optional<HttpAnswer> answer = askHost(session, arguments[0], "/v1/state", status);
+    if (!answer)
+        return status;
     Json::Value root;
-    if (!Json::Reader().parse(answer.body, root)) {
+    if (!Json::Reader().parse(answer->body, root)) {
         session.err() << arguments[0] << ": the answer is not JSON\n";
         return ExitStatus::Failed;
     }
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -13,6 +13,8 @@
 #include "bergamotroute/target_registry.h"
 #include "bergamotroute/types.h"
 
+#include "entry_pages.pb.h"
+
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -130,24 +132,6 @@
     std::uint64_t droppedAmbiguous = 0;
 };
 
-/// What an entry host has learned of one target, for operators.
-struct TargetCapacity {
-    std::string target;
-    std::string service;
-    std::string dataCentre;
-    std::uint32_t slots = 0;
-    /// Outstanding requests, own and reported.
-    std::uint32_t requests = 0;
-    /// Response time relative to that of a typical target.
-    double slowness = 1;
-    /// Outstanding requests from which on the target is expected to refuse; nothing if it has not refused lately.
-    std::optional<std::uint32_t> limit;
-    /// Number of samples of all hosts behind the slowness, decayed by age.
-    double evidence = 0;
-    /// Time since the latest evidence; nothing if there is none.
-    std::optional<Duration> evidenceAge;
-};
-
 /// Decides on the packets that one entry host receives.
 class CookieSteering {
 public:
@@ -189,8 +173,8 @@
 
     CapacitySummary capacitySummary() const;
 
-    /// @return what is learned of each target that takes new flows, by target.
-    std::vector<TargetCapacity> targetCapacities(TimePoint now) const;
+    /// @return what is learned of each target that takes new flows, ordered by id.
+    schema::TargetCapacityPage targetCapacities(TimePoint now) const;
 
     /// @return true if this host controls overload: its link's capacity is known and the document in force has a route
     /// with large requests.
--- a/src/libbergamot/cookie/capacity_learning.cpp
+++ b/src/libbergamot/cookie/capacity_learning.cpp
@@ -76,26 +76,27 @@
     return summary;
 }
 
-std::vector<TargetCapacity> CapacityLearning::describeTargets(TimePoint now) const
+schema::TargetCapacityPage CapacityLearning::describeTargets(TimePoint now) const
 {
-    std::vector<TargetCapacity> targets;
+    schema::TargetCapacityPage page;
     for (const auto& [id, target] : m_pool.all()) {
         if (!target->takesNewFlows())
             continue;
         const CapacityEstimate& estimate = target->capacity;
-        TargetCapacity& description = targets.emplace_back();
-        description.target = id;
-        description.service = target->service;
-        description.dataCentre = target->dataCentre;
-        description.slots = target->slots;
-        description.requests = target->requests();
-        description.slowness = estimate.slowness();
-        description.limit = estimate.limit();
-        description.evidence = estimate.evidence();
+        schema::TargetCapacityState& state = *page.add_targets();
+        state.set_target(id);
+        state.set_service(target->service);
+        state.set_data_centre(target->dataCentre);
+        state.set_slots(target->slots);
+        state.set_requests(target->requests());
+        state.set_slowness(estimate.slowness());
+        state.set_evidence(estimate.evidence());
+        if (estimate.limit())
+            state.set_limit(*estimate.limit());
         if (estimate.lastEvidence())
-            description.evidenceAge = now - *estimate.lastEvidence();
+            state.set_evidence_age_ms(static_cast<std::uint32_t>((now - *estimate.lastEvidence()).count()));
     }
-    return targets;
+    return page;
 }
 
 void CapacityLearning::advance(TimePoint now)
--- a/src/libbergamot/cookie/capacity_learning.h
+++ b/src/libbergamot/cookie/capacity_learning.h
@@ -44,7 +44,7 @@
         const std::vector<PooledTarget*>& targets, std::uint64_t flowHash, TimePoint now) const;
 
     CapacitySummary summary() const;
-    std::vector<TargetCapacity> describeTargets(TimePoint now) const;
+    schema::TargetCapacityPage describeTargets(TimePoint now) const;
 
     /// Brings the estimates of all targets up to date and forgets hosts and routes; to be called a few times per
     /// second.
--- a/src/libbergamot/cookie/capacity_learning_test.cpp
+++ b/src/libbergamot/cookie/capacity_learning_test.cpp
@@ -151,12 +151,12 @@
 
     /// @return the slowness of a target as a host sees it.
     double slowness(int target, int host = 0) const { return slowness(target, *hosts[host]); }
-    double slowness(int target, const CookieSteering& host) const { return find(target, host).slowness; }
-    TargetCapacity find(int target, const CookieSteering& host) const
+    double slowness(int target, const CookieSteering& host) const { return find(target, host).slowness(); }
+    schema::TargetCapacityState find(int target, const CookieSteering& host) const
     {
-        const auto all = host.targetCapacities(clock.now());
-        return *std::find_if(all.begin(), all.end(),
-            [this, target](const auto& item) { return item.target == targets[target]->registered.record.id(); });
+        const auto page = host.targetCapacities(clock.now());
+        return *std::find_if(page.targets().begin(), page.targets().end(),
+            [this, target](const auto& item) { return item.target() == targets[target]->registered.record.id(); });
     }
 
     schema::TargetLoadReport makeReport(int host, Duration period)
@@ -426,7 +426,7 @@
         deployment.run(Duration(250), quietRate);
         found += deployment.slowness(0) > slowTarget ? 1 : 0;
         deceived += deployment.slowness(1) > slowTarget ? 1 : 0;
-        CHECK(!deployment.find(1, *deployment.hosts[0]).limit);
+        CHECK(!deployment.find(1, *deployment.hosts[0]).has_limit());
     }
     CHECK(found >= 10);
     CHECK(deceived <= 2);
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -198,9 +198,12 @@
 
 CapacitySummary CookieSteering::capacitySummary() const { return m_implementation->learning.summary(); }
 
-std::vector<TargetCapacity> CookieSteering::targetCapacities(TimePoint now) const
+schema::TargetCapacityPage CookieSteering::targetCapacities(TimePoint now) const
 {
-    return m_implementation->learning.describeTargets(now);
+    schema::TargetCapacityPage page = m_implementation->learning.describeTargets(now);
+    page.set_host(m_implementation->options.host);
+    page.set_learns(m_implementation->options.learnCapacity);
+    return page;
 }
 
 bool CookieSteering::controlsOverload() const
