Explain where a new flow would go with the code that places it

Cause: an operator cannot see why a flow would go to a target without opening it. Change: the choice for a first packet is a const plan that handle() carries out and explain() prints with each part of the cost. Costs are the same sums as before.

--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -147,6 +147,9 @@
     /// Applies a change of a target in the registry.
     void updateTarget(const RegisteredTarget& target, TimePoint now);
 
+    /// @return where a new flow would go now and why, without any effect.
+    schema::PlacementExplanation explainPlacement(const FlowId& flow, TimePoint now) const;
+
     /// Decides on a client's packet. String views in the result are valid until the next call.
     SteeringDecision handlePacket(const FlowPacket& packet, TimePoint now);
 
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -145,6 +145,17 @@
                             : m_implementation->handleSubsequentPacket(packet, now);
 }
 
+schema::PlacementExplanation CookieSteering::explainPlacement(const FlowId& flow, TimePoint now) const
+{
+    FlowPacket packet;
+    packet.flow = flow;
+    packet.syn = true;
+    const FirstPacketSteering& firstPackets = m_implementation->firstPackets;
+    schema::PlacementExplanation explanation = firstPackets.explain(packet, now);
+    explanation.set_host(m_implementation->options.host);
+    return explanation;
+}
+
 std::vector<ProbeRequest> CookieSteering::takeProbes(TimePoint now)
 {
     std::vector<ProbeRequest> requests = m_implementation->reachability.takeProbes(now);
--- a/src/libbergamot/cookie/first_packet_steering.cpp
+++ b/src/libbergamot/cookie/first_packet_steering.cpp
@@ -19,6 +19,31 @@
     constexpr std::uint64_t minimumTrafficSeed = 1;
     constexpr std::uint64_t sampleSeed = 2;
 
+    schema::TargetCostState describe(const WeighedTarget& weighed)
+    {
+        const PooledTarget& target = *weighed.target;
+        const TargetCost& cost = weighed.cost;
+        schema::TargetCostState state;
+        state.set_target(target.id);
+        state.set_data_centre(target.dataCentre);
+        state.set_slots(target.slots);
+        state.set_outstanding_requests(target.requests());
+        state.set_slowness(target.capacity.slowness());
+        if (target.capacity.limit())
+            state.set_limit(*target.capacity.limit());
+        state.set_cost(cost.total);
+        state.set_requests(cost.requests);
+        state.set_idle_flows(cost.idleFlows);
+        state.set_extra_time(cost.extraTime);
+        state.set_spread(cost.spread);
+        state.set_slow_start(cost.slowStart);
+        state.set_other_data_centre(cost.remote);
+        state.set_silent(cost.silent);
+        state.set_avoided(cost.avoided);
+        state.set_not_compared(cost.unsampled);
+        return state;
+    }
+
 }
 
 void FirstPacketSteering::avoid(PooledTarget& target, TimePoint now)
@@ -31,46 +56,69 @@
     ++m_counters.avoidedTargets;
 }
 
-SteeringDecision FirstPacketSteering::place(
-    const FlowPacket& packet, const std::string& service, const PooledTarget* excluded, TimePoint now)
+FirstPacketSteering::Plan FirstPacketSteering::findService(const FlowPacket& packet) const
 {
-    const PlacementChoice choice
-        = m_placement.choose(m_pool.targetsOf(service), excluded, now, hashFlow(packet.flow, sampleSeed));
-    if (!choice.target) {
-        SteeringDecision decision = refuse(packet, ResultCode::FlowNoTarget);
-        // A host that knows no target at all has just started, so the packet is held.
-        if (m_pool.all().empty())
-            decision.action = SteeringAction::Hold;
-        else
-            ++m_counters.noTarget;
-        decision.service = service;
-        return decision;
+    Plan plan;
+    plan.route = m_routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
+    if (plan.route) {
+        plan.service = &RouteTable::chooseService(*plan.route, hashFlow(packet.flow, 0));
+        return plan;
     }
-    SteeringDecision decision = assign(packet, *choice.target, now);
-    decision.cost = choice.cost;
-    decision.candidates = choice.candidates;
-    return decision;
-}
-
-SteeringDecision FirstPacketSteering::assign(const FlowPacket& packet, PooledTarget& target, TimePoint now)
-{
-    m_flows.assign(packet.flow, target, now);
-    ++m_counters.placed;
-    return forwardTo(target, ResultCode::FlowPlaced);
+    plan.code = ResultCode::FlowRouteUnknown;
+    // A host without a routing document cannot tell that a route does not exist.
+    plan.isHeld = m_routes.version() == 0;
+    return plan;
 }
 
 PooledTarget* FirstPacketSteering::chooseForMinimumTraffic(
-    const FlowPacket& packet, const Route& route, const std::string& service, TimePoint now)
+    const FlowPacket& packet, const Plan& plan, TimePoint now) const
 {
     // A client may retry an idempotent request if the target is worse than slow.
-    if (!m_learning || !isIdempotent(route.kind))
+    if (!m_learning || !isIdempotent(plan.route->kind))
         return nullptr;
     return m_learning->chooseForMinimumTraffic(
-        m_pool.targetsOf(service), hashFlow(packet.flow, minimumTrafficSeed), now);
+        m_pool.targetsOf(*plan.service), hashFlow(packet.flow, minimumTrafficSeed), now);
+}
+
+void FirstPacketSteering::chooseTarget(const FlowPacket& packet, Plan& plan, const PooledTarget* excluded,
+    TimePoint now, std::vector<WeighedTarget>* weighed) const
+{
+    plan.choice = m_placement.choose(
+        m_pool.targetsOf(*plan.service), excluded, now, hashFlow(packet.flow, sampleSeed), weighed);
+    PooledTarget* tested = excluded ? nullptr : chooseForMinimumTraffic(packet, plan, now);
+    if (tested) {
+        plan.choice.target = tested;
+        plan.choice.isMinimumTraffic = true;
+    }
+    if (plan.choice.target)
+        return;
+    plan.code = ResultCode::FlowNoTarget;
+    // A host that knows no target at all has just started, so the packet is held.
+    plan.isHeld = m_pool.all().empty();
+}
+
+SteeringDecision FirstPacketSteering::carryOut(const FlowPacket& packet, const Plan& plan, TimePoint now)
+{
+    if (plan.code == ResultCode::FlowPlaced) {
+        m_flows.assign(packet.flow, *plan.choice.target, now);
+        ++m_counters.placed;
+        SteeringDecision decision = forwardTo(*plan.choice.target, ResultCode::FlowPlaced);
+        decision.cost = plan.choice.cost;
+        decision.candidates = plan.choice.candidates;
+        return decision;
+    }
+    SteeringDecision decision = refuse(packet, plan.code);
+    if (plan.service)
+        decision.service = *plan.service;
+    if (plan.isHeld)
+        decision.action = SteeringAction::Hold;
+    else
+        ++(plan.code == ResultCode::FlowNoTarget ? m_counters.noTarget : m_counters.routeUnknown);
+    return decision;
 }
 
 SteeringDecision FirstPacketSteering::placeAgain(
-    const FlowPacket& packet, const std::string& service, FlowState& existing, TimePoint now)
+    const FlowPacket& packet, Plan& plan, FlowState& existing, TimePoint now)
 {
     PooledTarget& previous = *existing.target;
     const bool isUnresponsive = previous.reachability.lastResponse() < existing.lastPlaced;
@@ -79,12 +127,13 @@
         m_reachability.suspect(previous, now);
     }
     const bool keepsTarget = !isUnresponsive && packet.acknowledgement <= maxRetransmissionsToSameTarget
-        && previous.takesNewFlows() && previous.service == service;
+        && previous.takesNewFlows() && previous.service == *plan.service;
     if (keepsTarget) {
         existing.lastSeen = now;
         return forwardTo(previous, ResultCode::FlowPlaced);
     }
-    SteeringDecision decision = place(packet, service, &previous, now);
+    chooseTarget(packet, plan, &previous, now);
+    SteeringDecision decision = carryOut(packet, plan, now);
     if (decision.action == SteeringAction::Forward) {
         decision.code = ResultCode::FlowPlacedAgain;
         ++m_counters.placedAgain;
@@ -95,27 +144,42 @@
 SteeringDecision FirstPacketSteering::handle(const FlowPacket& packet, TimePoint now)
 {
     ++m_counters.firstPackets;
-    const Route* route = m_routes.find(packet.flow.serviceAddress, packet.flow.servicePort);
-    if (!route) {
-        SteeringDecision unknown = refuse(packet, ResultCode::FlowRouteUnknown);
-        // A host without a routing document cannot tell that a route does not exist.
-        if (m_routes.version() == 0)
-            unknown.action = SteeringAction::Hold;
-        else
-            ++m_counters.routeUnknown;
-        return unknown;
-    }
-    const std::string& service = RouteTable::chooseService(*route, hashFlow(packet.flow, 0));
+    Plan plan = findService(packet);
+    if (!plan.route)
+        return carryOut(packet, plan, now);
     FlowState* existing = m_flows.find(packet.flow);
     // The acknowledgement field of a first packet counts its retransmissions.
     const bool isRetransmission = existing && !existing->established && !existing->closed && packet.acknowledgement > 0;
-    PooledTarget* tested = isRetransmission ? nullptr : chooseForMinimumTraffic(packet, *route, service, now);
-    SteeringDecision decision = tested ? assign(packet, *tested, now)
-        : isRetransmission             ? placeAgain(packet, service, *existing, now)
-                                       : place(packet, service, nullptr, now);
-    decision.route = route->name;
+    if (!isRetransmission)
+        chooseTarget(packet, plan, nullptr, now);
+    SteeringDecision decision
+        = isRetransmission ? placeAgain(packet, plan, *existing, now) : carryOut(packet, plan, now);
+    decision.route = plan.route->name;
     decision.retransmission = packet.acknowledgement;
     return decision;
 }
 
+schema::PlacementExplanation FirstPacketSteering::explain(const FlowPacket& packet, TimePoint now) const
+{
+    std::vector<WeighedTarget> weighed;
+    Plan plan = findService(packet);
+    if (plan.route)
+        chooseTarget(packet, plan, nullptr, now, &weighed);
+    schema::PlacementExplanation explanation;
+    explanation.set_document_version(m_routes.version());
+    explanation.set_code(static_cast<std::uint32_t>(plan.code));
+    explanation.set_held(plan.isHeld);
+    if (plan.route) {
+        explanation.set_route(plan.route->name);
+        explanation.set_service(*plan.service);
+    }
+    if (plan.choice.target)
+        explanation.set_target(plan.choice.target->id);
+    explanation.set_minimum_traffic(plan.choice.isMinimumTraffic);
+    explanation.set_all_at_limit(plan.choice.allAtLimit);
+    for (const WeighedTarget& item : weighed)
+        *explanation.add_targets() = describe(item);
+    return explanation;
+}
+
 }
--- a/src/libbergamot/cookie/first_packet_steering.h
+++ b/src/libbergamot/cookie/first_packet_steering.h
@@ -30,19 +30,36 @@
     /// @param learning must outlive the object.
     void setLearning(const CapacityLearning& learning) { m_learning = &learning; }
 
+    /// @return the decision that a new flow would get now and why, without any effect; the same code decides in
+    /// handle().
+    schema::PlacementExplanation explain(const FlowPacket& packet, TimePoint now) const;
+
     /// Decides on a first packet. Views in the result are valid until the targets or the routes change.
     SteeringDecision handle(const FlowPacket& packet, TimePoint now);
 
 private:
-    SteeringDecision place(
-        const FlowPacket& packet, const std::string& service, const PooledTarget* excluded, TimePoint now);
+    /// Where a flow goes.
+    struct Plan {
+        /// FlowPlaced, or why the flow is refused.
+        ResultCode code = ResultCode::FlowPlaced;
+        /// Instead of being refused, the packet is held, because this host knows too little yet.
+        bool isHeld = false;
+        const Route* route = nullptr;
+        const std::string* service = nullptr;
+        PlacementChoice choice;
+    };
+
+    /// Finds route and service.
+    Plan findService(const FlowPacket& packet) const;
+    /// Chooses a target of the plan's service.
+    /// @param excluded the target that did not answer the flow's first packet; null for a new flow.
+    /// @param[out] weighed receives the targets that were weighed; may be null.
+    void chooseTarget(const FlowPacket& packet, Plan& plan, const PooledTarget* excluded, TimePoint now,
+        std::vector<WeighedTarget>* weighed = nullptr) const;
     /// @return the slow target that a new flow tests, or null.
-    PooledTarget* chooseForMinimumTraffic(
-        const FlowPacket& packet, const Route& route, const std::string& service, TimePoint now);
-    /// Assigns a flow to a target.
-    SteeringDecision assign(const FlowPacket& packet, PooledTarget& target, TimePoint now);
-    SteeringDecision placeAgain(
-        const FlowPacket& packet, const std::string& service, FlowState& existing, TimePoint now);
+    PooledTarget* chooseForMinimumTraffic(const FlowPacket& packet, const Plan& plan, TimePoint now) const;
+    SteeringDecision carryOut(const FlowPacket& packet, const Plan& plan, TimePoint now);
+    SteeringDecision placeAgain(const FlowPacket& packet, Plan& plan, FlowState& existing, TimePoint now);
     void avoid(PooledTarget& target, TimePoint now);
 
     const RouteTable& m_routes;
--- a/src/libbergamot/cookie/placement.cpp
+++ b/src/libbergamot/cookie/placement.cpp
@@ -70,27 +70,32 @@
     return target.avoidUntil > now || target.reachability.isUnreachable() || target.reachability.isReported();
 }
 
-double Placement::costOf(const PooledTarget& target, double minRemoteIdleLoad, TimePoint now) const
+TargetCost Placement::costOf(const PooledTarget& target, double minRemoteIdleLoad, TimePoint now) const
 {
     const double requests = target.requests();
     const double idle = isLocal(target) ? idleLoad(target) : std::max(idleLoad(target), minRemoteIdleLoad);
     // The expected time at the target in units of a typical one's; equal to the requests per slot if it is typical.
     const double slowness = target.capacity.slowness();
-    const double extraTime = (slowness - 1) * (requests + 1) / target.slots;
-    double cost = requests / target.slots + extraTime + idle * slowness + spreadOf(target);
+    TargetCost cost;
+    cost.requests = requests / target.slots;
+    cost.extraTime = (slowness - 1) * (requests + 1) / target.slots;
+    cost.idleFlows = idle * slowness;
+    cost.spread = spreadOf(target);
+    const double load = cost.requests + cost.extraTime + cost.idleFlows + cost.spread;
     if (target.slowStartUntil > now)
-        cost = cost * m_options.slowStartFactor + m_options.slowStartCost;
+        cost.slowStart = load * (m_options.slowStartFactor - 1) + m_options.slowStartCost;
     if (!isLocal(target))
-        cost += m_options.remoteCost;
+        cost.remote = m_options.remoteCost;
     if (target.silent)
-        cost += m_options.silentCost;
+        cost.silent = m_options.silentCost;
     if (isAvoided(target, now) || target.isAtLimit())
-        cost += m_options.avoidCost;
+        cost.avoided = m_options.avoidCost;
+    cost.total = load + cost.slowStart + cost.remote + cost.silent + cost.avoided;
     return cost;
 }
 
 PlacementChoice Placement::choose(const std::vector<PooledTarget*>& targets, const PooledTarget* excluded,
-    TimePoint now, std::uint64_t flowHash) const
+    TimePoint now, std::uint64_t flowHash, std::vector<WeighedTarget>* weighed) const
 {
     const SampleShares shares = sampleShares(targets);
     // Reports from other data centres are infrequent or missing. Without this lower bound, remote targets whose open
@@ -103,15 +108,18 @@
     for (PooledTarget* target : targets) {
         if (!target->takesNewFlows())
             continue;
-        double cost = costOf(*target, minRemoteIdleLoad, now);
+        TargetCost cost = costOf(*target, minRemoteIdleLoad, now);
         if (uniformHash(target->number, flowHash) >= (isLocal(*target) ? shares.local : shares.remote))
-            cost += m_options.unsampledCost;
+            cost.unsampled = m_options.unsampledCost;
         if (excluded && now - target->reachability.lastResponse() >= m_options.provenFor)
-            cost += m_options.unprovenCost;
+            cost.unproven = m_options.unprovenCost;
+        cost.total += cost.unsampled + cost.unproven;
+        if (weighed)
+            weighed->push_back({ target, cost });
         PlacementChoice& selected = target == excluded ? fallback : best;
-        if (!selected.target || cost < selected.cost) {
+        if (!selected.target || cost.total < selected.cost) {
             selected.target = target;
-            selected.cost = cost;
+            selected.cost = cost.total;
         }
         ++best.candidates;
         isAnyAtLimit = isAnyAtLimit || target->isAtLimit();
--- a/src/libbergamot/cookie/placement.h
+++ b/src/libbergamot/cookie/placement.h
@@ -42,6 +42,32 @@
     double unsampledCost = 6.0;
 };
 
+/// Cost of a target for one flow, and what it consists of.
+struct TargetCost {
+    double total = 0;
+    /// Outstanding requests and idle open flows per slot.
+    double requests = 0;
+    double idleFlows = 0;
+    /// Extra time at a slow target; negative for a fast one.
+    double extraTime = 0;
+    /// Part that differs between entry hosts.
+    double spread = 0;
+    double slowStart = 0;
+    double remote = 0;
+    double silent = 0;
+    /// Avoided, unreachable or at its limit.
+    double avoided = 0;
+    /// Not among the targets that the flow compares.
+    double unsampled = 0;
+    double unproven = 0;
+};
+
+/// A target that was weighed for a flow.
+struct WeighedTarget {
+    const PooledTarget* target = nullptr;
+    TargetCost cost;
+};
+
 /// The chosen target, and for the log the reasons.
 struct PlacementChoice {
     PooledTarget* target = nullptr;
@@ -51,6 +77,8 @@
     /// Each candidate that is not avoided for another reason is at its learned limit, so the chosen one will probably
     /// refuse the flow; admission may let the flow wait instead.
     bool allAtLimit = false;
+    /// The flow tests a slow target that has had no request for a while.
+    bool isMinimumTraffic = false;
 };
 
 class Placement {
@@ -61,8 +89,9 @@
     /// @param excluded the target that did not answer the flow's first packet, to be chosen only if there is no other;
     /// null for a new flow.
     /// @param flowHash chooses the targets that the flow compares while the service is disturbed.
+    /// @param[out] weighed receives the targets that could have been chosen; may be null.
     PlacementChoice choose(const std::vector<PooledTarget*>& targets, const PooledTarget* excluded, TimePoint now,
-        std::uint64_t flowHash = 0) const;
+        std::uint64_t flowHash = 0, std::vector<WeighedTarget>* weighed = nullptr) const;
 
 private:
     struct SampleShares {
@@ -79,7 +108,7 @@
     double idleLoad(const PooledTarget& target) const;
     double meanLocalIdleLoad(const std::vector<PooledTarget*>& targets) const;
     /// @param minRemoteIdleLoad lower bound for the idle load of a target in another data centre.
-    double costOf(const PooledTarget& target, double minRemoteIdleLoad, TimePoint now) const;
+    TargetCost costOf(const PooledTarget& target, double minRemoteIdleLoad, TimePoint now) const;
 
     PlacementOptions m_options;
     std::string m_dataCentre;
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -63,7 +63,7 @@
     m_cookiesStale = true;
 }
 
-void TargetPool::resolveCookieConflicts()
+void TargetPool::resolveCookieConflicts() const
 {
     if (!std::exchange(m_cookiesStale, false))
         return;
@@ -104,7 +104,7 @@
     return found == m_byCookie.end() ? nullptr : found->second;
 }
 
-const std::vector<PooledTarget*>& TargetPool::targetsOf(const std::string& service)
+const std::vector<PooledTarget*>& TargetPool::targetsOf(const std::string& service) const
 {
     resolveCookieConflicts();
     static const std::vector<PooledTarget*> none;
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -78,7 +78,7 @@
     PooledTarget* findByCookie(Cookie cookie);
 
     /// @return targets of a service, or an empty list.
-    const std::vector<PooledTarget*>& targetsOf(const std::string& service);
+    const std::vector<PooledTarget*>& targetsOf(const std::string& service) const;
 
     /// Removes targets that have been gone for the given time, within which all flows to them have ended. Pointers to
     /// other targets stay valid.
@@ -105,15 +105,15 @@
         std::vector<Cookie> unreachable;
     };
 
-    /// Decides which target owns each cookie; does so once after any number of updates.
-    void resolveCookieConflicts();
+    /// Decides which target owns each cookie; does so once after any number of updates, when the result is needed.
+    void resolveCookieConflicts() const;
     void applyReport(const Report& report, int sign);
     void noteRequests(const Report& report, TimePoint now);
 
     TargetNumberFunction m_targetNumberOf;
     std::map<std::string, std::unique_ptr<PooledTarget>, std::less<>> m_targets;
-    std::unordered_map<Cookie, PooledTarget*> m_byCookie;
-    bool m_cookiesStale = false;
+    mutable std::unordered_map<Cookie, PooledTarget*> m_byCookie;
+    mutable bool m_cookiesStale = false;
     std::unordered_map<std::string, std::vector<PooledTarget*>> m_byService;
     std::map<std::string, Report> m_reports;
 };
