--- a/src/libbergamot/cookie/flow_table.h
+++ b/src/libbergamot/cookie/flow_table.h
@@ -4,6 +4,7 @@
 /// State that an entry host keeps of the flows that pass it. Later packets of a flow are forwarded by their cookie
 /// alone; this state only serves to measure load, so it may be lost at any time.
 
+#include "capacity/response_samples.h"
 #include "cookie/target_pool.h"
 
 #include <functional>
@@ -31,6 +32,7 @@
     bool openedInSlowStart = false;
     bool requestPending = false;
     bool closed = false;
+    RequestMeasurement measurement;
 };
 
 /// Number of the request that shows a flow to be recurring, i.e. to carry more than one request.
@@ -69,6 +71,10 @@
     /// Sets the observer of requests, which must outlive the table; null for none.
     void setObserver(FlowTableObserver* observer) { m_observer = observer; }
 
+    /// Measures response times of requests from now on.
+    /// @param samples must outlive the object.
+    void setSamples(ResponseSamples& samples) { m_samples = &samples; }
+
     FlowState* find(const FlowId& flow);
 
     /// @return true if a first packet of the flow has been sent to a target and no later one has come.
@@ -97,9 +103,13 @@
     void close(FlowState& state);
     /// Counts the request that new data of a flow belongs to, unless it is counted already.
     void countRequest(FlowState& state, TimePoint now);
+    /// Passes a packet on to the measurement of response times.
+    void measure(const FlowPacket& packet, RequestProgress progress, FlowState& state, TimePoint now);
+    void examineRequests(TimePoint now);
 
     std::size_t m_capacity;
     FlowTableObserver* m_observer = nullptr;
+    ResponseSamples* m_samples = nullptr;
     std::unordered_map<FlowId, FlowState, FlowIdHash> m_flows;
 };
 
--- a/src/libbergamot/cookie/placement.h
+++ b/src/libbergamot/cookie/placement.h
@@ -33,6 +33,41 @@
     Duration provenFor { 3000 };
     /// Extra cost of a target that has not answered first packets or that probes could not reach.
     double avoidCost = 20.0;
+    /// Numbers of targets that a flow compares while this share of the service's targets is slow or refuses. Reported
+    /// load is up to a report interval old. If all hosts sent their flows to the one target that seems best, it would
+    /// be full before the next report; flows that compare few targets each spread over all of them. Load reports of
+    /// other data centres are older and fewer.
+    double disturbedShare = 0.1;
+    double sampledLocalTargets = 6;
+    double sampledRemoteTargets = 1;
+    /// Extra cost of the other targets meanwhile; above the cost of an idle target that is as slow as can be.
+    double unsampledCost = 6.0;
+};
+
+/// Cost of a target for one flow, and what it consists of.
+struct TargetCost {
+    double total = 0;
+    /// Outstanding requests and idle open flows per slot.
+    double requests = 0;
+    double idleFlows = 0;
+    /// Extra time at a slow target; negative for a fast one.
+    double extraTime = 0;
+    /// Part that differs between entry hosts.
+    double spread = 0;
+    double slowStart = 0;
+    double remote = 0;
+    double silent = 0;
+    /// Avoided, unreachable or at its limit.
+    double avoided = 0;
+    /// Not among the targets that the flow compares.
+    double unsampled = 0;
+    double unproven = 0;
+};
+
+/// A target that was weighed for a flow.
+struct WeighedTarget {
+    const PooledTarget* target = nullptr;
+    TargetCost cost;
 };
 
 /// The chosen target, and for the log the reasons.
@@ -43,6 +78,11 @@
     std::size_t candidates = 0;
     /// Targets in slow start to which this host may not send the flow.
     std::size_t notPermitted = 0;
+    /// Each candidate that is not avoided for another reason is at its learned limit, so the chosen one will probably
+    /// refuse the flow; admission may let the flow wait instead.
+    bool allAtLimit = false;
+    /// The flow tests a slow target that has had no request for a while.
+    bool isMinimumTraffic = false;
 };
 
 class Placement {
@@ -55,18 +95,28 @@
 
     /// @param excluded the target that did not answer the flow's first packet, to be chosen only if there is no other;
     /// null for a new flow.
-    PlacementChoice choose(
-        const std::vector<PooledTarget*>& targets, const PooledTarget* excluded, TimePoint now) const;
+    /// @param flowHash chooses the targets that the flow compares while the service is disturbed.
+    /// @param[out] weighed receives the targets that could have been chosen; may be null.
+    PlacementChoice choose(const std::vector<PooledTarget*>& targets, const PooledTarget* excluded, TimePoint now,
+        std::uint64_t flowHash = 0, std::vector<WeighedTarget>* weighed = nullptr) const;
 
 private:
+    struct SampleShares {
+        double local = 1;
+        double remote = 1;
+    };
+
     bool isLocal(const PooledTarget& target) const { return target.dataCentre == m_dataCentre; }
     double spreadOf(const PooledTarget& target) const;
+    /// @return probabilities with which a flow compares a target; 1 unless the service is disturbed.
+    SampleShares sampleShares(const std::vector<PooledTarget*>& targets) const;
+    bool isAvoided(const PooledTarget& target, TimePoint now) const;
     /// @return expected requests per slot from idle open flows.
     double idleLoad(const PooledTarget& target) const;
     double meanLocalIdleLoad(const std::vector<PooledTarget*>& targets) const;
     /// @param minRemoteIdleLoad lower bound for the idle load of a target in another data centre.
     /// @param isLimited the target is in slow start, and the limit permits the flow.
-    double costOf(const PooledTarget& target, double minRemoteIdleLoad, bool isLimited, TimePoint now) const;
+    TargetCost costOf(const PooledTarget& target, double minRemoteIdleLoad, bool isLimited, TimePoint now) const;
 
     PlacementOptions m_options;
     std::string m_dataCentre;
