Serve the bulk queue every 6 ms instead of every 3 ms

Each wake-up for one or two packets costs CPU time, of which entry hosts have little. While an urgent packet waits the timer still runs as soon as tokens are left. The token bucket grows to 10 ms so that a late timer loses no rate.

--- a/src/libbergamot/overload/packet_scheduler.cpp
+++ b/src/libbergamot/overload/packet_scheduler.cpp
@@ -14,13 +14,15 @@
 
     /// Share of the link for packets to targets; the rest is for load reports, control calls and probes.
     constexpr double pacedShare = 0.92;
-    /// Tokens that accumulate, in milliseconds of the paced rate: sendInterval and the lateness of a timer on a busy
+    /// Tokens that accumulate, in milliseconds of the paced rate: bulkInterval and the lateness of a timer on a busy
     /// host.
-    constexpr Duration burst { 8 };
+    constexpr Duration burst { 10 };
     /// Tokens that resets can take in advance; a flood of resets must not stop the packets to targets.
     constexpr Duration maxDebt { 20 };
-    /// Minimum time between two sends from the queues; each wake-up costs CPU time.
-    constexpr Duration sendInterval { 3 };
+    /// Minimum time between two sends from the queues by a timer, while an urgent packet waits and otherwise; each
+    /// wake-up costs CPU time.
+    constexpr Duration urgentInterval { 1 };
+    constexpr Duration bulkInterval { 6 };
 
     /// Limits on the queues: as much as the link carries in this time, and a limit for the memory of large links.
     constexpr Duration queueTime { 250 };
@@ -255,7 +257,7 @@
     if (m_implementation->isEmpty())
         return std::nullopt;
     const TokenBucket& tokens = m_implementation->tokens;
-    return tokens.refilled() + tokens.timeUntil(sendInterval);
+    return tokens.refilled() + tokens.timeUntil(m_implementation->urgent.isEmpty() ? bulkInterval : urgentInterval);
 }
 
 bool PacketScheduler::isEmpty() const { return m_implementation->isEmpty(); }
