--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -52,6 +52,7 @@
     void logDecision(const FlowPacket& packet, const SteeringDecision& decision) const;
     bool isReady() const;
     std::string metrics() const;
+    void addAdmissionMetrics(prometheus::Registry& registry) const;
 
     EventLoop& m_loop;
     schema::CookieEntrySettings m_settings;
--- a/src/bergamot-entry/entry_metrics.cpp
+++ b/src/bergamot-entry/entry_metrics.cpp
@@ -9,6 +9,30 @@
 
 namespace bergamotroute {
 
+void CookieEntryDaemon::addAdmissionMetrics(prometheus::Registry& registry) const
+{
+    const AdmissionMetrics admission = m_steering.admissionMetrics();
+    const auto add = [&registry](const std::string& name, const std::string& help, double value) {
+        setGauge(registry, "bergamot_entry_" + name, help, value);
+    };
+    add("bulk_flows", "Open flows that send much and take room on the link.", static_cast<double>(admission.bulkFlows));
+    add("bulk_room_bytes", "Room on the link for flows that send much.", admission.roomBytes);
+    add("bulk_room_taken_bytes", "Room on the link that open flows take.", static_cast<double>(admission.claimedBytes));
+    add("first_packets_waiting", "First packets that wait for room on the link.",
+        static_cast<double>(admission.waiting));
+    add("flows_waited_total", "Flows that waited for room on the link.", static_cast<double>(admission.waited));
+    add("second_choices_denied_total", "Repeated first packets that the budget of second choices kept at their target.",
+        static_cast<double>(m_steering.counters().secondChoicesDenied));
+    const auto addRefusals = [&registry](const std::string& route, const std::string& reason, std::uint64_t count) {
+        setGauge(registry, "bergamot_entry_flows_refused_total", "Flows refused for lack of room on the link.",
+            static_cast<double>(count), { { "route", route }, { "reason", reason } });
+    };
+    for (const FlowRefusals& refusals : admission.refusals) {
+        addRefusals(refusals.route, "no_room", refusals.noRoom);
+        addRefusals(refusals.route, "waited_too_long", refusals.waitedTooLong);
+    }
+}
+
 std::string CookieEntryDaemon::metrics() const
 {
     prometheus::Registry registry;
@@ -59,6 +83,7 @@
         static_cast<double>(logCounters().dropped));
     add("log_lines_suppressed_total", "Log lines suppressed by the rate limit of their result code.",
         static_cast<double>(logCounters().suppressed));
+    addAdmissionMetrics(registry);
     return serializeMetrics(registry) + serializeMetrics(m_histograms);
 }
 
--- a/src/libbergamotio/metrics.cpp
+++ b/src/libbergamotio/metrics.cpp
@@ -12,9 +12,10 @@
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
-void setGauge(prometheus::Registry& registry, const std::string& name, const std::string& help, double value)
+void setGauge(prometheus::Registry& registry, const std::string& name, const std::string& help, double value,
+    const std::map<std::string, std::string>& labels)
 {
-    prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(value);
+    prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(labels).Set(value);
 }
 
 DurationHistogram::DurationHistogram(prometheus::Registry& registry, const std::string& name, const std::string& help)
--- a/src/libbergamotio/metrics.h
+++ b/src/libbergamotio/metrics.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -18,8 +19,10 @@
 /// Serialises all metrics of a registry.
 std::string serializeMetrics(const prometheus::Registry& registry);
 
-/// Sets a gauge without labels, creating it if needed.
-void setGauge(prometheus::Registry& registry, const std::string& name, const std::string& help, double value);
+/// Sets a gauge, creating it if needed.
+/// @param labels names and values of its labels.
+void setGauge(prometheus::Registry& registry, const std::string& name, const std::string& help, double value,
+    const std::map<std::string, std::string>& labels = {});
 
 /// A histogram of durations, from 0.1 ms to 10 s.
 class DurationHistogram {
