Let routes of one priority take turns, and reset no waiting flow that another host may have

Cause: among flows of one priority, those with shorter latency objectives were always first; and while a flow waited, the fabric could move it, so that the reset of the first host met a flow that the second one had opened. Change: routes take turns, then client accounts; a flow that has waited for 200 ms without a retransmission of its first packet is dropped without a reset. A refused flow does not wait again, no flow is refused on arrival while it fits, and data after a gap of 200 ms is a new request, so that streams with small messages are not learned as large requests.

--- a/src/libbergamot/admission/admission_queue.cpp
+++ b/src/libbergamot/admission/admission_queue.cpp
@@ -1,6 +1,7 @@
 #include "admission/admission_queue.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace bergamotroute {
@@ -10,10 +11,10 @@
     /// After this number of admissions that passed over a lower priority, one flow of a lower priority is admitted.
     constexpr unsigned maxPassedOver = 7;
 
-    bool isAhead(const WaitingFlow& left, const WaitingFlow& right)
+    std::uint64_t findTurn(const auto& turns, const auto& key)
     {
-        return std::tie(left.priority, left.turn, left.objectiveEnd)
-            < std::tie(right.priority, right.turn, right.objectiveEnd);
+        const auto found = turns.find(key);
+        return found == turns.end() ? 0 : found->second;
     }
 
 }
@@ -25,20 +26,50 @@
     return found == m_flows.end() ? nullptr : &*found;
 }
 
-std::uint64_t AdmissionQueue::nextTurn(std::uint32_t priority, std::uint32_t clientAddress) const
+const AdmissionQueue::Level& AdmissionQueue::levelOf(std::uint32_t priority) const
 {
-    const auto current = m_currentTurns.find(priority);
-    const auto next = m_nextTurns.find({ priority, clientAddress });
-    return std::max(
-        current == m_currentTurns.end() ? 0 : current->second, next == m_nextTurns.end() ? 0 : next->second);
+    static const Level unserved;
+    const auto found = m_levels.find(priority);
+    return found == m_levels.end() ? unserved : found->second;
+}
+
+std::uint64_t AdmissionQueue::clientTurn(const WaitingFlow& flow) const
+{
+    const ClientKey key { flow.priority, flow.packet.flow.clientAddress };
+    return std::max(levelOf(flow.priority).clientTurn, findTurn(m_clientTurns, key));
+}
+
+std::uint64_t AdmissionQueue::routeTurn(const WaitingFlow& flow) const
+{
+    return std::max(levelOf(flow.priority).routeTurn, findTurn(m_routeTurns, flow.route.get()));
+}
+
+bool AdmissionQueue::isAhead(const WaitingFlow& left, const WaitingFlow& right) const
+{
+    const std::uint64_t leftRoute = routeTurn(left);
+    const std::uint64_t rightRoute = routeTurn(right);
+    return std::tie(leftRoute, left.turn, left.objectiveEnd, left.arrival)
+        < std::tie(rightRoute, right.turn, right.objectiveEnd, right.arrival);
 }
 
 std::size_t AdmissionQueue::countAhead(const WaitingFlow& flow) const
 {
     WaitingFlow candidate = flow;
-    candidate.turn = nextTurn(flow.priority, flow.packet.flow.clientAddress);
-    const auto position = std::upper_bound(m_flows.begin(), m_flows.end(), candidate, isAhead);
-    return static_cast<std::size_t>(position - m_flows.begin());
+    candidate.turn = clientTurn(flow);
+    std::size_t higher = 0;
+    std::size_t equal = 0;
+    std::size_t ownRoute = 0;
+    std::set<const RouteDemand*> routes { flow.route.get() };
+    for (const WaitingFlow& other : m_flows) {
+        higher += other.priority < flow.priority ? 1 : 0;
+        if (other.priority != flow.priority)
+            continue;
+        ++equal;
+        routes.insert(other.route.get());
+        ownRoute += other.route == flow.route && !isAhead(candidate, other) ? 1 : 0;
+    }
+    // Each flow of the own route that is ahead, and this one, may follow one of each other route.
+    return higher + std::min(equal, (ownRoute + 1) * routes.size() - 1);
 }
 
 bool AdmissionQueue::hasPriority(std::uint32_t priority) const
@@ -49,29 +80,33 @@
 
 void AdmissionQueue::add(WaitingFlow flow)
 {
-    const std::uint32_t clientAddress = flow.packet.flow.clientAddress;
-    flow.turn = nextTurn(flow.priority, clientAddress);
-    m_nextTurns[{ flow.priority, clientAddress }] = flow.turn + 1;
-    const auto position = std::upper_bound(m_flows.begin(), m_flows.end(), flow, isAhead);
-    m_flows.insert(position, std::move(flow));
+    flow.turn = clientTurn(flow);
+    m_clientTurns[{ flow.priority, flow.packet.flow.clientAddress }] = flow.turn + 1;
+    m_flows.push_back(std::move(flow));
+}
+
+std::uint32_t AdmissionQueue::nextPriority() const
+{
+    std::set<std::uint32_t> priorities;
+    for (const WaitingFlow& flow : m_flows)
+        priorities.insert(flow.priority);
+    const std::uint32_t highest = *priorities.begin();
+    if (m_passedOver < maxPassedOver || priorities.size() == 1)
+        return highest;
+    return *std::min_element(
+        std::next(priorities.begin()), priorities.end(), [this](std::uint32_t left, std::uint32_t right) {
+            return levelOf(left).lastServed < levelOf(right).lastServed;
+        });
 }
 
 std::size_t AdmissionQueue::nextIndex() const
 {
-    if (m_passedOver < maxPassedOver)
-        return 0;
-    // The lower priority that has not been served for the longest time.
-    std::size_t chosen = 0;
-    std::uint64_t oldest = UINT64_MAX;
-    for (std::size_t i = 1; i < m_flows.size(); ++i) {
-        if (m_flows[i].priority == m_flows[i - 1].priority)
-            continue;
-        const auto served = m_lastServed.find(m_flows[i].priority);
-        const std::uint64_t admission = served == m_lastServed.end() ? 0 : served->second;
-        if (admission < oldest) {
-            oldest = admission;
+    const std::uint32_t priority = nextPriority();
+    std::size_t chosen = m_flows.size();
+    for (std::size_t i = 0; i < m_flows.size(); ++i) {
+        const bool isCandidate = m_flows[i].priority == priority;
+        if (isCandidate && (chosen == m_flows.size() || isAhead(m_flows[i], m_flows[chosen])))
             chosen = i;
-        }
     }
     return chosen;
 }
@@ -81,16 +116,24 @@
 WaitingFlow AdmissionQueue::takeNext()
 {
     const std::size_t index = nextIndex();
-    const bool hasLowerPriority = m_flows.front().priority != m_flows.back().priority;
-    if (index > 0)
-        m_passedOver = 0;
-    else if (hasLowerPriority)
-        ++m_passedOver;
     WaitingFlow flow = std::move(m_flows[index]);
     m_flows.erase(m_flows.begin() + static_cast<std::ptrdiff_t>(index));
-    m_lastServed[flow.priority] = ++m_admissions;
-    std::uint64_t& current = m_currentTurns[flow.priority];
-    current = std::max(current, flow.turn);
+    const auto hasPriorityWhere
+        = [this](const auto& matches) { return std::any_of(m_flows.begin(), m_flows.end(), matches); };
+    const bool passesOver
+        = hasPriorityWhere([&flow](const WaitingFlow& other) { return other.priority > flow.priority; });
+    const bool isReserved
+        = hasPriorityWhere([&flow](const WaitingFlow& other) { return other.priority < flow.priority; });
+    if (isReserved)
+        m_passedOver = 0;
+    else if (passesOver)
+        ++m_passedOver;
+    const std::uint64_t turn = routeTurn(flow);
+    Level& level = m_levels[flow.priority];
+    level.lastServed = ++m_admissions;
+    level.clientTurn = std::max(level.clientTurn, flow.turn);
+    level.routeTurn = turn;
+    m_routeTurns[flow.route.get()] = turn + 1;
     forgetTurnsIfEmpty();
     return flow;
 }
@@ -104,7 +147,7 @@
             continue;
         }
         // A turn that was not served is given back.
-        --m_nextTurns[{ flow->priority, flow->packet.flow.clientAddress }];
+        --m_clientTurns[{ flow->priority, flow->packet.flow.clientAddress }];
         overdue.push_back(std::move(*flow));
         flow = m_flows.erase(flow);
     }
@@ -123,17 +166,21 @@
 {
     if (m_flows.empty())
         return std::nullopt;
-    return std::min_element(m_flows.begin(), m_flows.end(), [](const WaitingFlow& left, const WaitingFlow& right) {
-        return left.waitEnd < right.waitEnd;
-    })->waitEnd;
+    const auto isEarlier
+        = [](const WaitingFlow& left, const WaitingFlow& right) { return left.waitEnd < right.waitEnd; };
+    return std::min_element(m_flows.begin(), m_flows.end(), isEarlier)->waitEnd;
 }
 
 void AdmissionQueue::forgetTurnsIfEmpty()
 {
     if (!m_flows.empty())
         return;
-    m_currentTurns.clear();
-    m_nextTurns.clear();
+    m_clientTurns.clear();
+    m_routeTurns.clear();
+    for (auto& [priority, level] : m_levels) {
+        level.clientTurn = 0;
+        level.routeTurn = 0;
+    }
 }
 
 }
--- a/src/libbergamot/admission/admission_queue.h
+++ b/src/libbergamot/admission/admission_queue.h
@@ -1,9 +1,9 @@
 #pragma once
 
 /// @file
-/// Queue of new flows that wait for room: higher priorities first, client accounts by turns, then the earliest end of
-/// the latency objective. Start-time fair queueing gives each flow the turn after its client account's previous one, so
-/// a client account with many new flows delays only its own.
+/// Queue of new flows that wait for room: higher priorities first; within one priority, routes and then client accounts
+/// take turns; then the earliest end of the latency objective. Turns follow start-time fair queueing, so a route or a
+/// client account with many new flows delays only its own.
 
 #include "admission/bulk_flows.h"
 #include "bergamotroute/clock.h"
@@ -26,6 +26,7 @@
     std::shared_ptr<RouteDemand> route;
     std::string routeName;
     std::uint32_t priority = 0;
+    TimePoint arrival;
     TimePoint objectiveEnd;
     /// The flow is refused if it has not been admitted by this time.
     TimePoint waitEnd;
@@ -37,12 +38,13 @@
     /// @return the waiting flow, or null. The pointer is valid until the queue changes.
     WaitingFlow* find(const FlowId& flow);
 
-    /// @return number of flows ahead of a new one.
+    /// @return number of waiting flows that are admitted before a new one.
     std::size_t countAhead(const WaitingFlow& flow) const;
 
     /// @return true if a flow of this priority waits.
     bool hasPriority(std::uint32_t priority) const;
 
+    /// @param flow its turn is set here.
     void add(WaitingFlow flow);
 
     /// @return the flow to admit next, or null if the queue is empty. The pointer is valid until the queue changes.
@@ -66,18 +68,32 @@
 private:
     using ClientKey = std::pair<std::uint32_t, std::uint32_t>;
 
-    std::uint64_t nextTurn(std::uint32_t priority, std::uint32_t clientAddress) const;
+    /// State of one priority.
+    struct Level {
+        /// Turns of clients and of routes that are being served.
+        std::uint64_t clientTurn = 0;
+        std::uint64_t routeTurn = 0;
+        /// Number of the admission that served it last.
+        std::uint64_t lastServed = 0;
+    };
+
+    /// @return the turn of the next flow of a client account.
+    std::uint64_t clientTurn(const WaitingFlow& flow) const;
+    /// @return the turn of a waiting flow's route.
+    std::uint64_t routeTurn(const WaitingFlow& flow) const;
+    const Level& levelOf(std::uint32_t priority) const;
+    bool isAhead(const WaitingFlow& left, const WaitingFlow& right) const;
+    /// @return the priority that is served next. The queue must not be empty.
+    std::uint32_t nextPriority() const;
     std::size_t nextIndex() const;
     void forgetTurnsIfEmpty();
 
-    /// In order of admission.
+    /// In order of arrival.
     std::vector<WaitingFlow> m_flows;
-    /// By priority: the turn that is being served.
-    std::map<std::uint32_t, std::uint64_t> m_currentTurns;
-    /// By priority and client address: the turn after the client account's last flow.
-    std::map<ClientKey, std::uint64_t> m_nextTurns;
-    /// By priority: number of the admission that served it last.
-    std::map<std::uint32_t, std::uint64_t> m_lastServed;
+    std::map<std::uint32_t, Level> m_levels;
+    /// The turn after the last one, by priority and client address, and by route.
+    std::map<ClientKey, std::uint64_t> m_clientTurns;
+    std::map<const RouteDemand*, std::uint64_t> m_routeTurns;
     std::uint64_t m_admissions = 0;
     /// Admissions in a row that passed over a lower priority.
     unsigned m_passedOver = 0;
--- a/src/libbergamot/admission/bulk_flows.cpp
+++ b/src/libbergamot/admission/bulk_flows.cpp
@@ -14,6 +14,9 @@
     constexpr double newestWeight = 1.0 / 8;
     /// A flow without packets for this time is quiet. Clients repeat unacknowledged data after 200 and 400 ms.
     constexpr Duration quietTimeout { 500 };
+    /// Time without new data after which further data is another request: clients repeat unacknowledged data after this
+    /// time, so all data before has arrived.
+    constexpr Duration requestGap { 200 };
     /// A client sends data as soon as its flow is open. If it sends none within its retransmission timeout, its target
     /// has probably not answered, and the flow does not use the link.
     constexpr Duration firstDataTimeout { 200 };
@@ -118,6 +121,10 @@
     const std::uint32_t end = packet.sequence + packet.payloadBytes;
     if (packet.payloadBytes == 0 || !isAfter(end, flow.nextSequence))
         return;
+    // A client that sends now and then without an answer, as on a stream, sends several small requests.
+    if (now - flow.lastData >= requestGap)
+        endRequest(flow);
+    flow.lastData = now;
     flow.requestBytes += end - flow.nextSequence;
     flow.nextSequence = end;
     flow.hasSentData = true;
--- a/src/libbergamot/admission/bulk_flows.h
+++ b/src/libbergamot/admission/bulk_flows.h
@@ -96,6 +96,7 @@
         std::uint16_t largestPacket = 0;
         TimePoint claimedSince;
         TimePoint lastSeen;
+        TimePoint lastData;
         bool isEstablished = false;
         bool hasSentData = false;
         /// This host has seen the request in progress from its beginning.
--- a/src/libbergamot/admission/flow_admission.cpp
+++ b/src/libbergamot/admission/flow_admission.cpp
@@ -14,7 +14,8 @@
     /// For routes without a latency objective.
     constexpr Duration defaultObjective { 1000 };
     constexpr std::size_t maxWaitingFlows = 256;
-    /// Clients repeat a first packet for this time.
+    /// Clients repeat a first packet after this time, and give up after the second one.
+    constexpr Duration firstRetransmission { 200 };
     constexpr Duration firstPacketLifetime { 1400 };
     constexpr std::size_t maxRememberedRefusals = 1024;
     /// While small flows of a priority are refused, one of this number is admitted, so that no priority gets nothing.
@@ -100,6 +101,9 @@
 {
     if (m_queue.size() >= maxWaitingFlows)
         return true;
+    // The next flow of the queue may need more room than there is, and this one less.
+    if (hasRoomFor(*flow.route))
+        return false;
     // A share of the room is kept for each priority, so its first flow may always wait.
     if (!m_queue.hasPriority(flow.priority))
         return false;
@@ -118,8 +122,8 @@
     if (m_flows.isOpening(packet.flow, now))
         return FlowVerdict::Admit;
     // Another host may have forwarded the original of a retransmission that is unknown here.
-    const bool isUnknownRetransmission = packet.acknowledgement > 0 && !m_refused.contains(packet.flow);
-    if (isUnknownRetransmission)
+    const bool isRetransmission = packet.acknowledgement > 0;
+    if (isRetransmission && !m_refused.contains(packet.flow))
         return admit(packet.flow, demand, now);
     if (!demand->isBulk()) {
         if (admitsSmall(route))
@@ -129,8 +133,9 @@
     m_flows.expireClaims(now);
     if (m_queue.isEmpty() && hasRoomFor(*demand))
         return admit(packet.flow, demand, now);
-    WaitingFlow flow { packet, demand, route.name, route.priority, now + objectiveOf(route), now + waitOf(route) };
-    if (isHopeless(flow, now))
+    WaitingFlow flow { packet, demand, route.name, route.priority, now, now + objectiveOf(route), now + waitOf(route) };
+    // A flow that has been refused does not wait again.
+    if (isRetransmission || isHopeless(flow, now))
         return refuse(packet.flow, route.name, FlowVerdict::RefuseNoRoom, now);
     ++m_waited;
     m_queue.add(std::move(flow));
@@ -142,6 +147,16 @@
     m_flows.observe(packet, demandOf(route), now);
 }
 
+FlowVerdict FlowAdmission::endWait(const WaitingFlow& flow, TimePoint now)
+{
+    // Room that is too small for the next flow in the queue may suffice for this one.
+    if (hasRoomFor(*flow.route))
+        return admit(flow.packet.flow, flow.route, now);
+    const bool isRetransmissionMissing = flow.packet.acknowledgement == 0 && now - flow.arrival >= firstRetransmission;
+    return refuse(flow.packet.flow, flow.routeName,
+        isRetransmissionMissing ? FlowVerdict::DropWaitedTooLong : FlowVerdict::RefuseWaitedTooLong, now);
+}
+
 std::vector<AdmissionRelease> FlowAdmission::takeReleases(TimePoint now)
 {
     std::vector<AdmissionRelease> releases;
@@ -155,10 +170,7 @@
         releases.push_back({ flow.packet, flow.routeName, admit(flow.packet.flow, flow.route, now) });
     }
     for (const WaitingFlow& flow : m_queue.takeOverdue(now)) {
-        // Room that is too small for the next flow in the queue may suffice for this one.
-        const FlowVerdict verdict = hasRoomFor(*flow.route)
-            ? admit(flow.packet.flow, flow.route, now)
-            : refuse(flow.packet.flow, flow.routeName, FlowVerdict::RefuseWaitedTooLong, now);
+        const FlowVerdict verdict = endWait(flow, now);
         releases.push_back({ flow.packet, flow.routeName, verdict });
     }
     return releases;
--- a/src/libbergamot/admission/flow_admission.h
+++ b/src/libbergamot/admission/flow_admission.h
@@ -32,6 +32,9 @@
     RefuseNoRoom,
     /// Refused after its wait.
     RefuseWaitedTooLong,
+    /// Dropped without an answer after its wait: the expected retransmission of its first packet has not come, so
+    /// another host may have received and forwarded it.
+    DropWaitedTooLong,
 };
 
 /// A waiting flow about which has been decided.
@@ -83,6 +86,7 @@
     std::shared_ptr<RouteDemand> demandOf(const Route& route);
     FlowVerdict admit(const FlowId& flow, const std::shared_ptr<RouteDemand>& demand, TimePoint now);
     FlowVerdict refuse(const FlowId& flow, const std::string& route, FlowVerdict verdict, TimePoint now);
+    FlowVerdict endWait(const WaitingFlow& flow, TimePoint now);
     bool admitsSmall(const Route& route);
     bool hasRoomFor(const RouteDemand& demand) const;
     bool isHopeless(const WaitingFlow& flow, TimePoint now) const;
--- a/src/libbergamot/admission/flow_admission_test.cpp
+++ b/src/libbergamot/admission/flow_admission_test.cpp
@@ -36,6 +36,7 @@
         upload.first.flow.clientAddress = client;
         const SteeringDecision decision = handle(upload.first);
         uploads[upload.first.flow] = upload;
+        clientOf[lastPort] = client;
         apply(upload.first.flow, decision);
     }
 
@@ -46,6 +47,7 @@
             upload.cookie = decision.cookie;
         if (decision.action != SteeringAction::Reset)
             return;
+        CHECK(upload.cookie == 0);
         ++refused[{ flow.clientAddress, flow.servicePort }];
         longestRefusal = std::max(longestRefusal, clock.now() - upload.begin);
         uploads.erase(flow);
@@ -58,6 +60,7 @@
             clock.advance(tick);
             for (const FlowRelease& release : steering.takeReleases(clock.now()))
                 apply(release.packet.flow, release.decision);
+            repeatFirstPackets();
             budget = std::min(budget, 0.0) + linkRate * 0.01;
             while (budget > 0 && sendRound()) { }
             finishAnswered();
@@ -66,6 +69,19 @@
         }
     }
 
+    void repeatFirstPackets()
+    {
+        std::vector<FlowPacket> repeated;
+        for (const auto& [flow, upload] : uploads) {
+            if (upload.cookie == 0 && clock.now() - upload.begin == Duration(200))
+                repeated.push_back(firstPacket(flow.clientPort, flow.servicePort, 1));
+        }
+        for (FlowPacket& packet : repeated) {
+            packet.flow.clientAddress = clientOf.at(packet.flow.clientPort);
+            apply(packet.flow, handle(packet));
+        }
+    }
+
     /// @return false if no upload has data to send.
     bool sendRound()
     {
@@ -125,6 +141,7 @@
     }
 
     std::map<FlowId, Upload> uploads;
+    std::map<std::uint16_t, std::uint32_t> clientOf;
     Counts done;
     Counts refused;
     double linkRate = pacedBytesPerSecond;
@@ -281,6 +298,43 @@
     CHECK(handle(firstPacket(1, uploadPort, 1)).action == SteeringAction::Forward);
 }
 
+TEST_CASE_FIXTURE(Uploads, "a waiting flow is not reset if its retransmission may have gone to another host")
+{
+    for (int upload = 0; upload < 3; ++upload)
+        start(uploadPort, clientAddress);
+    handle(firstPacket(900, uploadPort));
+    handle(firstPacket(901, uploadPort));
+    clock.advance(Duration(100));
+    for (const auto& [flow, upload] : uploads)
+        handle(subsequentPacket(upload.first, upload.cookie, 1001, 1200, 500));
+    clock.advance(Duration(100));
+    handle(firstPacket(901, uploadPort, 1));
+    clock.advance(Duration(100));
+    const std::vector<FlowRelease> releases = steering.takeReleases(clock.now());
+    REQUIRE(releases.size() == 2);
+    CHECK(releases[0].decision.action == SteeringAction::Drop);
+    CHECK(releases[1].decision.action == SteeringAction::Reset);
+    // The retransmission has come here after all, so a refusal is true.
+    CHECK(handle(firstPacket(900, uploadPort, 1)).action == SteeringAction::Reset);
+}
+
+TEST_CASE_FIXTURE(Uploads, "bulk surge: routes of one priority share the room, whatever their objectives")
+{
+    RoutingDocument document = makeDocument(2);
+    document.routes.push_back(makeRoute(82, RequestKind::Upload, 1, Duration(900)));
+    steering.installDocument(document);
+    for (std::uint32_t upload = 0; upload < 200; ++upload) {
+        start(uploadPort, clientAddress + 2 * upload);
+        start(82, clientAddress + 2 * upload + 1);
+        run(Duration(40));
+    }
+    std::map<std::uint16_t, int> byRoute;
+    for (const auto& [key, count] : done)
+        byRoute[key.second] += count;
+    CHECK(byRoute[uploadPort] >= 45);
+    CHECK(byRoute[82] >= 45);
+}
+
 TEST_CASE_FIXTURE(Uploads, "waiting flows are placed when the document has no more upload routes")
 {
     for (int upload = 0; upload < 4; ++upload)
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -98,6 +98,9 @@
     case FlowVerdict::RefuseWaitedTooLong:
         decision = refuse(packet, ResultCode::FlowWaitedTooLong);
         break;
+    case FlowVerdict::DropWaitedTooLong:
+        decision.code = ResultCode::FlowWaitedTooLong;
+        break;
     }
     decision.route = route;
     decision.retransmission = packet.acknowledgement;
