Keep the room of flows whose first data is late while the host is overloaded

Cause: a claim without data ended after 200 ms; on a full link the first data takes longer, so that admission would let in more flows just when there are too many.

--- a/src/libbergamot/admission/bulk_flows.cpp
+++ b/src/libbergamot/admission/bulk_flows.cpp
@@ -53,9 +53,18 @@
     m_hasRequests = true;
 }
 
-TimePoint BulkFlows::quietAt(const Flow& flow)
+TimePoint BulkFlows::quietAt(const Flow& flow) const
 {
-    return flow.lastSeen + (flow.hasSentData ? quietTimeout : firstDataTimeout);
+    return flow.lastSeen + (flow.hasSentData || m_isOverloaded ? quietTimeout : firstDataTimeout);
+}
+
+void BulkFlows::setOverloaded(bool isOverloaded)
+{
+    if (isOverloaded == m_isOverloaded)
+        return;
+    m_isOverloaded = isOverloaded;
+    // Claims may end earlier than before.
+    m_nextExpiry = {};
 }
 
 void BulkFlows::endRequest(Flow& flow)
--- a/src/libbergamot/admission/bulk_flows.h
+++ b/src/libbergamot/admission/bulk_flows.h
@@ -59,6 +59,9 @@
     {
     }
 
+    /// Sets whether this host is overloaded. The first data of a flow may then be late, so its claim lasts longer.
+    void setOverloaded(bool isOverloaded);
+
     /// Counts a flow whose first packet is forwarded now.
     void open(const FlowId& flow, const std::shared_ptr<RouteDemand>& route, TimePoint now);
 
@@ -104,7 +107,7 @@
     };
     using FlowMap = std::unordered_map<FlowId, Flow, FlowIdHash>;
 
-    static TimePoint quietAt(const Flow& flow);
+    TimePoint quietAt(const Flow& flow) const;
     static void endRequest(Flow& flow);
     FlowMap::iterator add(const FlowId& id, const std::shared_ptr<RouteDemand>& route, TimePoint now);
     void countData(const FlowId& id, Flow& flow, const FlowPacket& packet, TimePoint now);
@@ -117,6 +120,7 @@
     std::uint64_t m_claimedBytes = 0;
     /// No claim ends without a packet before this time.
     TimePoint m_nextExpiry = noDeadline;
+    bool m_isOverloaded = false;
     FlowRate m_ended;
     double m_meanClaimMs = 0;
 };
--- a/src/libbergamot/admission/flow_admission.cpp
+++ b/src/libbergamot/admission/flow_admission.cpp
@@ -48,10 +48,11 @@
     m_demands = std::move(demands);
 }
 
-void FlowAdmission::setLink(double bytesPerSecond, Duration urgentDelay)
+void FlowAdmission::setLinkState(const LinkState& state)
 {
-    m_roomBytes = bytesPerSecond * roomSeconds;
-    m_urgentDelay = urgentDelay;
+    m_roomBytes = state.bytesPerSecond * roomSeconds;
+    m_urgentDelay = state.urgentDelay;
+    m_flows.setOverloaded(state.isOverloaded);
 }
 
 std::shared_ptr<RouteDemand> FlowAdmission::demandOf(const Route& route)
--- a/src/libbergamot/admission/flow_admission.h
+++ b/src/libbergamot/admission/flow_admission.h
@@ -56,9 +56,8 @@
     /// Applies the document in force.
     void setDocument(const RoutingDocument& document);
 
-    /// @param bytesPerSecond rate at which packets may be sent to targets.
-    /// @param urgentDelay time that a first packet queued now waits before it is sent.
-    void setLink(double bytesPerSecond, Duration urgentDelay);
+    /// Applies the state of this host's link; its rate must be known.
+    void setLinkState(const LinkState& state);
 
     /// Decides on a first packet of a flow that has no target yet. The same flow may ask again.
     FlowVerdict decide(const FlowPacket& packet, const Route& route, TimePoint now);
--- a/src/libbergamot/admission/flow_admission_test.cpp
+++ b/src/libbergamot/admission/flow_admission_test.cpp
@@ -227,6 +227,16 @@
     checkRecovery();
 }
 
+TEST_CASE_FIXTURE(Uploads, "bulk surge: an overloaded host keeps the room of flows whose first data is late")
+{
+    for (const bool isOverloaded : { true, false }) {
+        steering.setLinkState(makeLinkState(isOverloaded));
+        start(uploadPort, clientAddress, false);
+        run(Duration(250));
+        CHECK(steering.admissionMetrics().bulkFlows == (isOverloaded ? 1 : 0));
+    }
+}
+
 TEST_CASE_FIXTURE(Uploads, "half of the hosts lost in a surge: unknown flows are forwarded and count as load")
 {
     std::vector<FlowPacket> moved;
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -77,8 +77,10 @@
 {
     reachability.setOverloaded(isOverloaded());
     firstPackets.setOverload(controlsOverload(), isOverloaded());
-    const double bytesPerSecond = linkState.bytesPerSecond > 0 ? linkState.bytesPerSecond : options.linkBytesPerSecond;
-    admission.setLink(bytesPerSecond, linkState.urgentDelay);
+    LinkState state = linkState;
+    if (state.bytesPerSecond <= 0)
+        state.bytesPerSecond = options.linkBytesPerSecond;
+    admission.setLinkState(state);
 }
 
 SteeringDecision CookieSteering::Implementation::decide(
