--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -55,6 +55,7 @@
     bool isReady() const;
     void end();
     std::string metrics() const;
+    void addAdmissionMetrics(prometheus::Registry& registry) const;
 
     EventLoop& m_loop;
     schema::CookieEntrySettings m_settings;
--- a/src/libbergamot/admission/flow_admission.h
+++ b/src/libbergamot/admission/flow_admission.h
@@ -32,6 +32,9 @@
     RefuseNoRoom,
     /// Refused after its wait.
     RefuseWaitedTooLong,
+    /// Dropped without an answer after its wait: the expected retransmission of its first packet has not come, so
+    /// another host may have received and forwarded it.
+    DropWaitedTooLong,
 };
 
 /// A waiting flow about which has been decided.
@@ -53,9 +56,8 @@
     /// Applies the document in force.
     void setDocument(const RoutingDocument& document);
 
-    /// @param bytesPerSecond rate at which packets may be sent to targets.
-    /// @param urgentDelay time that a first packet queued now waits before it is sent.
-    void setLink(double bytesPerSecond, Duration urgentDelay);
+    /// Applies the state of this host's link; its rate must be known.
+    void setLinkState(const LinkState& state);
 
     /// Decides on a first packet of a flow that has no target yet. The same flow may ask again.
     FlowVerdict decide(const FlowPacket& packet, const Route& route, TimePoint now);
@@ -83,6 +85,7 @@
     std::shared_ptr<RouteDemand> demandOf(const Route& route);
     FlowVerdict admit(const FlowId& flow, const std::shared_ptr<RouteDemand>& demand, TimePoint now);
     FlowVerdict refuse(const FlowId& flow, const std::string& route, FlowVerdict verdict, TimePoint now);
+    FlowVerdict endWait(const WaitingFlow& flow, TimePoint now);
     bool admitsSmall(const Route& route);
     bool hasRoomFor(const RouteDemand& demand) const;
     bool isHopeless(const WaitingFlow& flow, TimePoint now) const;
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -90,9 +90,11 @@
 {
     reachability.setOverloaded(isOverloaded());
     firstPackets.setOverload(controlsOverload(), isOverloaded());
-    const double bytesPerSecond = linkState.bytesPerSecond > 0 ? linkState.bytesPerSecond : options.linkBytesPerSecond;
-    admission.setLink(bytesPerSecond, linkState.urgentDelay);
-    learning.samples().setOverloaded(isOverloaded());
+    LinkState state = linkState;
+    if (state.bytesPerSecond <= 0)
+        state.bytesPerSecond = options.linkBytesPerSecond;
+    admission.setLinkState(state);
+    learning.samples().setOverloaded(linkState.isOverloaded);
 }
 
 SteeringDecision CookieSteering::Implementation::decide(
@@ -112,6 +114,9 @@
     case FlowVerdict::RefuseWaitedTooLong:
         decision = refuse(packet, ResultCode::FlowWaitedTooLong);
         break;
+    case FlowVerdict::DropWaitedTooLong:
+        decision.code = ResultCode::FlowWaitedTooLong;
+        break;
     }
     decision.route = route;
     decision.retransmission = packet.acknowledgement;
