Test the limit in slow start with many targets, hosts that join in groups, and control hosts that notice a cut late

Cause: with one target and all hosts joining at once the test passed without the settling time and with one of 3 s. Change: 30 targets, of which each is checked; a random third is killed or cut off instead of one data centre; a cut-off host stays in contact for 1.2 s. Mutation trials: without settling time, and with one of 3 s, the test of long flows now fails. Tested: libbergamot_test.

--- a/src/libbergamot/cookie/slow_start_limit_test.cpp
+++ b/src/libbergamot/cookie/slow_start_limit_test.cpp
@@ -81,8 +81,10 @@
         std::unique_ptr<CookieSteering> steering;
         EntryHostLocation location;
         bool isAlive = true;
-        bool isCutOff = false;
+        /// Age of the list at its arrival. Hosts receive one each 0.8 s, so that a change takes up to 5 s.
         Duration listLag { 0 };
+        /// From this time on the host receives nothing from control hosts.
+        TimePoint contactUntil = TimePoint::max();
         /// From this time on the control hosts no longer list it.
         TimePoint listedUntil = TimePoint::max();
     };
@@ -116,18 +118,20 @@
             const EntryHostLocation location { "entry-" + number, std::string(1, "abc"[hosts.size() % 3]) };
             hosts.push_back(
                 { std::make_unique<CookieSteering>(makeOptions(location.host, location.dataCentre, rule)), location });
-            hosts.back().listLag = Duration(pick(0, 5000));
+            hosts.back().listLag = Duration(pick(0, 4200));
             hosts.back().steering->installDocument(makeDocument(rule.rate, Duration(2000)));
             for (const RegisteredTarget& target : targets)
                 hosts.back().steering->updateTarget(target, clock.now());
         }
     }
 
-    /// Applies a change to each third host.
+    /// Applies a change to a third of the running hosts.
     void changeThird(const std::function<void(Host&)>& change)
     {
-        for (std::size_t i = 0; i < hosts.size(); i += 3)
-            change(hosts[i]);
+        for (Host& host : hosts) {
+            if (host.isAlive && pick(0, 2) == 0)
+                change(host);
+        }
     }
 
     /// The last announcement of a host that falls silent is up to 1.3 s old.
@@ -153,7 +157,7 @@
         }
         lists.emplace_back(clock.now(), std::move(list));
         for (Host& host : hosts) {
-            if (!host.isAlive || host.isCutOff)
+            if (!host.isAlive || clock.now() >= host.contactUntil)
                 continue;
             const TimePoint seen = clock.now() - host.listLag;
             const auto newer = std::find_if(
@@ -232,7 +236,7 @@
     }
 };
 
-/// Kills a third of the hosts, joins as many, and cuts off a third for 8 s, while one target is in slow start.
+/// Kills a third of the hosts, joins as many in groups, and cuts off a third for 8 s, while targets are in slow start.
 void runChanges(Deployment& deployment)
 {
     using Host = Deployment::Host;
@@ -245,29 +249,35 @@
         host.listedUntil = deployment.removalTime();
     });
     deployment.run(Duration(9000), 30);
-    deployment.join(third);
-    deployment.run(Duration(12'000), 30);
+    constexpr std::size_t groups = 5;
+    for (std::size_t i = 0; i < groups; ++i) {
+        deployment.join((third + i) / groups);
+        deployment.run(Duration(1600), 30);
+    }
+    deployment.run(Duration(6000), 30);
     deployment.changeThird([&](Host& host) {
-        host.isCutOff = true;
+        // A control host notices after 1.2 s that it is cut off together with the entry host.
+        host.contactUntil = deployment.clock.now() + Duration(1200);
         host.listedUntil = deployment.removalTime();
     });
     deployment.run(Duration(8000), 30);
-    deployment.changeThird([](Host& host) {
-        host.isCutOff = false;
-        host.listedUntil = host.isAlive ? TimePoint::max() : host.listedUntil;
-    });
+    for (Host& host : deployment.hosts) {
+        if (std::exchange(host.contactUntil, TimePoint::max()) != TimePoint::max())
+            host.listedUntil = TimePoint::max();
+    }
     deployment.run(Duration(9000), 30);
 }
 
 }
 
-TEST_CASE("59 and 294 hosts of which a third is killed, joins or is cut off keep the limit of a target in slow start")
+TEST_CASE(
+    "59 and 294 hosts of which a third is killed, joins or is cut off keep the limit of each target in slow start")
 {
     for (const std::size_t hostCount : { 59U, 294U }) {
         for (const Rule rule : { Rule { 10, 2, 5 }, Rule { 0, 2, 4 }, Rule { 0.4, 1.5, 1 }, Rule { 0.75, 2, 0.5 } }) {
             CAPTURE(hostCount);
             CAPTURE(rule.allowed());
-            Deployment deployment(rule, hostCount, 1);
+            Deployment deployment(rule, hostCount, 30);
             runChanges(deployment);
             CHECK(static_cast<double>(deployment.mostPerSecond()) <= rule.allowed());
             CHECK(deployment.arrivalCount() > 0);
@@ -286,7 +296,7 @@
 {
     for (const std::uint32_t requests : { 2U, 12U, 60U }) {
         CAPTURE(requests);
-        Deployment deployment({ 10, 2, 5 }, 59, 1);
+        Deployment deployment({ 10, 2, 5 }, 59, 10);
         deployment.requestsPerFlow = requests;
         runChanges(deployment);
         CHECK(deployment.mostPerSecond() <= 25);
@@ -440,6 +450,31 @@
     CHECK(limit.permits(target, clock.now()));
 }
 
+TEST_CASE_FIXTURE(OwnerFixture, "a single allowed request is sent only by a host whose list has not changed for 5 s")
+{
+    SlowStartLimit single({ "entry-b", 0.1, 0, heartbeat }, pool);
+    single.setDocument(document);
+    PooledTarget& target = add(1, "b", clock.now() + Duration(60'000));
+    FlowState ended;
+    ended.target = &target;
+    for (int i = 0; i < 20; ++i)
+        single.handleSingleRequestFlow(ended);
+    std::vector<EntryHostLocation> hosts { { "entry-b", "b" } };
+    const auto advanceBy = [&](Duration duration) {
+        for (const TimePoint end = clock.now() + duration; clock.now() < end; clock.advance(Duration(500))) {
+            single.setEntryHosts(hosts);
+            single.refreshView(clock.now());
+        }
+    };
+    advanceBy(settling);
+    CHECK(single.permits(target, clock.now()));
+    // The host may own the target by its new list while another one still owns it by an old list.
+    hosts.push_back({ "entry-c", "c" });
+    advanceBy(settling);
+    CHECK_FALSE(single.permits(target, clock.now() - Duration(500)));
+    CHECK(single.permits(target, clock.now()));
+}
+
 TEST_CASE_FIXTURE(OwnerFixture, "a target of a data centre without entry hosts is owned by a host of another one")
 {
     int owned = 0;
