Test directly that a host waits 5 s for ownership after contact begins

Change: the test of ownership checks both sides of 5 s, after the start and after contact is regained. Tested: libbergamot_test -sf=*slow_start_limit_test* (11 cases).

--- a/src/libbergamot/cookie/slow_start_limit_test.cpp
+++ b/src/libbergamot/cookie/slow_start_limit_test.cpp
@@ -375,9 +375,11 @@
         limit.refreshView(clock.now());
     }
 
-    void settle()
+    /// Stays in contact for the time after which the host may own targets.
+    /// @param missing stops this much earlier.
+    void settle(Duration missing = Duration(0))
     {
-        for (Duration waited { 0 }; waited < settling; waited += Duration(500))
+        for (const TimePoint end = clock.now() + settling - missing; clock.now() < end;)
             advance(Duration(500));
     }
 
@@ -436,8 +438,9 @@
 TEST_CASE_FIXTURE(OwnerFixture, "a host owns nothing at first, while its view is old, and after contact is regained")
 {
     const PooledTarget& target = add(1, "b", clock.now() + Duration(60'000));
+    settle(Duration(500));
     CHECK_FALSE(limit.permits(target, clock.now()));
-    settle();
+    advance(Duration(500));
     CHECK(limit.permits(target, clock.now()));
     CHECK(limit.status(clock.now()).owned == 1);
     clock.advance(Duration(3999));
@@ -445,8 +448,9 @@
     clock.advance(Duration(1));
     CHECK_FALSE(limit.permits(target, clock.now()));
     limit.refreshView(clock.now());
+    settle(Duration(500));
     CHECK_FALSE(limit.permits(target, clock.now()));
-    settle();
+    advance(Duration(500));
     CHECK(limit.permits(target, clock.now()));
 }
 
