--- a/packaging/bergamotctl.bash
+++ b/packaging/bergamotctl.bash
@@ -7,10 +7,11 @@
     done
     local offer=
     case ${#words[@]}:${words[0]} in
-    0:*) offer="service backend datacentre host control status dump history watch check explain timeline manifest runbook request settings-page result-codes-page completion-script command-names" ;;
+    0:*) offer="service backend datacentre evacuation host control status dump history watch check explain timeline manifest runbook request settings-page result-codes-page completion-script command-names" ;;
     1:backend) offer="list drain ready weight maintenance remove" ;;
     1:control) offer="status add promote remove replace" ;;
     1:datacentre) offer="stop start" ;;
+    1:evacuation) offer="start end list" ;;
     1:host) offer="list drain ready leave" ;;
     1:manifest) offer="diff apply" ;;
     1:request) offer="show" ;;
--- a/src/bergamotctl/http_client.cpp
+++ b/src/bergamotctl/http_client.cpp
@@ -55,6 +55,13 @@
         event_base_loopbreak(exchange.base);
     }
 
+    evhttp_cmd_type commandOf(const HttpRequest& request)
+    {
+        if (!request.body.empty() || request.method == HttpMethod::Post)
+            return EVHTTP_REQ_POST;
+        return request.method == HttpMethod::Delete ? EVHTTP_REQ_DELETE : EVHTTP_REQ_GET;
+    }
+
     evhttp_request* makeRequest(const HttpRequest& request, Exchange& exchange)
     {
         evhttp_request* made = evhttp_request_new(onDone, &exchange);
@@ -89,9 +96,8 @@
         = evhttp_connection_base_new(m_base.get(), nullptr, address.c_str(), request.endpoint.port);
     bufferevent* stream = evhttp_connection_get_bufferevent(connection);
     evbuffer_add_cb(bufferevent_get_output(stream), onOutputChanged, &exchange);
-    const bool isPost = request.isPost || !request.body.empty();
     evhttp_request* made = makeRequest(request, exchange);
-    if (evhttp_make_request(connection, made, isPost ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, request.path.c_str()) != 0) {
+    if (evhttp_make_request(connection, made, commandOf(request), request.path.c_str()) != 0) {
         exchange.isDone = true;
         exchange.answer.error = ResultCode::ConnectionLost;
         exchange.answer.isNotSent = true;
--- a/src/bergamotctl/http_client.h
+++ b/src/bergamotctl/http_client.h
@@ -14,14 +14,20 @@
 
 namespace bergamotroute {
 
+enum class HttpMethod {
+    Get,
+    Post,
+    Delete,
+};
+
 /// One HTTP request.
 struct HttpRequest {
     Endpoint endpoint;
     /// Path with query.
     std::string path;
-    /// A request with a body is a POST, one without is a GET unless isPost is set.
+    /// A request with a body is a POST, one without has the method below.
     std::string body;
-    bool isPost = false;
+    HttpMethod method = HttpMethod::Get;
     /// Bearer token; empty sends none.
     std::string token;
     std::chrono::milliseconds timeout { 2000 };
--- a/src/bergamotctl/session.cpp
+++ b/src/bergamotctl/session.cpp
@@ -151,7 +151,7 @@
 HttpAnswer Session::sendTo(const std::string& endpoint, const std::string& path, bool isPost)
 {
     HttpRequest request = makeRequest(endpoint, path);
-    request.isPost = isPost;
+    request.method = isPost ? HttpMethod::Post : HttpMethod::Get;
     return m_client.send(request);
 }
 
--- a/src/bergamotctl/session.h
+++ b/src/bergamotctl/session.h
@@ -51,6 +51,13 @@
     bool isFresh = false;
 };
 
+/// Answer of the leader of the control hosts to a call that can be repeated.
+struct LeaderAnswer {
+    /// Done for an answer with status 200, Failed for a refusal.
+    ExitStatus status = ExitStatus::NotReachable;
+    std::string body;
+};
+
 /// Connection of one run of bergamotctl to the deployment.
 class Session {
 public:
@@ -91,6 +98,10 @@
     /// Like askControl(), but asks the leader first, because followers are behind it.
     std::optional<HttpAnswer> askLeaderFirst(const std::string& path, std::string& fault);
 
+    /// Sends a call without a body, which may be repeated, to the control hosts in turn until the leader has answered
+    /// or the deadline passes. Prints why there is no answer.
+    LeaderAnswer callLeader(HttpMethod method, const std::string& path);
+
     std::vector<EntryAnswer> readEntryStates();
     std::vector<ControlAnswer> readControlStates();
 
--- a/src/bergamotctl/session_commands.cpp
+++ b/src/bergamotctl/session_commands.cpp
@@ -137,6 +137,38 @@
           << "ask again with: bergamotctl request show " << requestId << '\n';
 }
 
+LeaderAnswer Session::callLeader(HttpMethod method, const std::string& path)
+{
+    std::string fault = "no control host is configured; see --control";
+    bool mayHaveRun = false;
+    bool isRefused = false;
+    do {
+        for (const schema::OperatorEndpoint& host : m_settings.control_hosts()) {
+            HttpRequest request = makeRequest(host.endpoint(), path);
+            request.method = method;
+            const HttpAnswer answer = m_client.send(request);
+            if (answer.status == 200)
+                return { ExitStatus::Done, answer.body };
+            if (answer.status != 0 && answer.status != 503)
+                return { ExitStatus::Failed, answer.body };
+            // A 503 may be the answer to a command that is in the log and not committed yet.
+            isRefused |= answer.status == 503;
+            mayHaveRun |= answer.status == 0 && !answer.isNotSent;
+            fault
+                = host.host() + ": " + (answer.status == 0 ? answer.error.message() : "HTTP status 503 " + answer.body);
+        }
+        if (m_settings.control_hosts().empty() || timeLeft() < pauseBetweenRounds + minRequestTime)
+            break;
+        std::this_thread::sleep_for(pauseBetweenRounds);
+    } while (true);
+    const bool isUnknown = method != HttpMethod::Get && (mayHaveRun || isRefused);
+    m_err << (isUnknown ? "unknown: no control host has confirmed the call; repeat it: " : "no answer: ") << fault
+          << '\n';
+    if (isUnknown)
+        return { ExitStatus::Unknown, {} };
+    return { m_settings.control_hosts().empty() ? ExitStatus::Usage : ExitStatus::NotReachable, {} };
+}
+
 ExitStatus Session::printResult(const schema::CommandResult& result)
 {
     const bool isAccepted = result.outcome() == schema::OUTCOME_ACCEPTED;
--- a/src/libbergamot/base/result_code.cpp
+++ b/src/libbergamot/base/result_code.cpp
@@ -95,7 +95,7 @@
         { ResultCode::EvacuationRepeated, "EvacuationRepeated",
             "The data centre is in the requested state already; the call was acknowledged and has no effect." },
         { ResultCode::EvacuationApplied, "EvacuationApplied",
-            "An entry host has applied the list of evacuated data centres." },
+            "This host has applied the list of evacuated data centres." },
         { ResultCode::EvacuationAcknowledged, "EvacuationAcknowledged",
             "All entry hosts that respond have applied the last order or withdrawal." },
         { ResultCode::EvacuationOfAll, "EvacuationOfAll",
