Test what an entry host is sent, and both ways to kill a leader before its answer

Change: findNewerList() decides without I/O whether an entry host gets the list. The test of the killed leader becomes two: one whose entry has reached the others and takes effect without a second call, one whose entry stays on its own disk and is replaced. Tested: libbergamot_test.

--- a/src/bergamot-directory/entry_sync.cpp
+++ b/src/bergamot-directory/entry_sync.cpp
@@ -86,8 +86,8 @@
     const schema::Document& document = m_quorum.log().configuration().document();
     if (document.version() > request.document_version())
         response.set_routing_table(document.routing_table());
-    if (m_quorum.log().configuration().data_centres_revision() > request.data_centres_revision())
-        *response.mutable_stopped_data_centres() = listStoppedDataCentres(m_quorum.log().configuration());
+    if (auto list = findNewerList(m_quorum.log().configuration(), request.data_centres_revision()))
+        *response.mutable_stopped_data_centres() = std::move(*list);
     const auto entryHosts = m_replicator.entryHosts(maxHostAge);
     response.set_entry_hosts_fingerprint(fingerprintOf(entryHosts));
     if (response.entry_hosts_fingerprint() != request.seen_entry_hosts()) {
--- a/src/include/bergamotroute/evacuation.h
+++ b/src/include/bergamotroute/evacuation.h
@@ -10,6 +10,7 @@
 #include "directory.pb.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -39,6 +40,11 @@
 /// @return the stopped data centres and the revision of that list, as entry hosts receive them.
 schema::StoppedDataCentres listStoppedDataCentres(const schema::Configuration& configuration);
 
+/// @param appliedRevision revision of the list that an entry host has applied.
+/// @return the list for that host, or nothing if it has applied the newest one.
+std::optional<schema::StoppedDataCentres> findNewerList(
+    const schema::Configuration& configuration, std::uint64_t appliedRevision);
+
 /// @return the names of a list, separated by blanks, for the log.
 std::string describe(const schema::StoppedDataCentres& list);
 
--- a/src/libbergamot/directory/evacuation.cpp
+++ b/src/libbergamot/directory/evacuation.cpp
@@ -53,6 +53,14 @@
     return list;
 }
 
+std::optional<schema::StoppedDataCentres> findNewerList(
+    const schema::Configuration& configuration, std::uint64_t appliedRevision)
+{
+    if (configuration.data_centres_revision() <= appliedRevision)
+        return std::nullopt;
+    return listStoppedDataCentres(configuration);
+}
+
 std::string describe(const schema::StoppedDataCentres& list)
 {
     std::string names;
--- a/src/libbergamot/directory/evacuation_test.cpp
+++ b/src/libbergamot/directory/evacuation_test.cpp
@@ -75,10 +75,25 @@
     CHECK_FALSE(areAllStopped(configuration, {}));
 }
 
+// Guards against an entry host that keeps an ended evacuation because an empty list is not sent, and against a control
+// host that lags behind and sends what the entry host has applied already.
+TEST_CASE("a list is sent exactly to entry hosts that have applied an older one, also if it is empty")
+{
+    schema::Configuration configuration;
+    setDataCentre(configuration, "east", false, 6);
+    REQUIRE(findNewerList(configuration, 5).has_value());
+    CHECK(findNewerList(configuration, 5)->revision() == 6);
+    CHECK(findNewerList(configuration, 5)->names().empty());
+    CHECK_FALSE(findNewerList(configuration, 6).has_value());
+    CHECK_FALSE(findNewerList(configuration, 7).has_value());
+}
+
 // Guards against bytes on small links for a feature that nobody uses.
-TEST_CASE("without an order the list has no revision and is not newer than that of a new entry host")
+TEST_CASE("without an order no list is sent and the record of an entry host has no further bytes")
 {
-    CHECK(listStoppedDataCentres({}).ByteSizeLong() == 0);
+    schema::Configuration configuration;
+    configuration.set_revision(9);
+    CHECK_FALSE(findNewerList(configuration, 0).has_value());
     schema::EntryHostRecord record;
     record.set_data_centres_revision(0);
     record.set_flows_at_stopped(0);
--- a/src/libbergamot/quorum/evacuation_quorum_test.cpp
+++ b/src/libbergamot/quorum/evacuation_quorum_test.cpp
@@ -134,23 +134,49 @@
     CHECK(quorum.allShow({ "west" }));
 }
 
-TEST_CASE("an order whose leader is killed between log and answer takes effect once when it is sent again")
+TEST_CASE("an order whose leader is killed after it was sent to the others takes effect once when it is sent again")
 {
     EvacuationQuorum quorum(25);
+    quorum.maxDelaySteps = 0;
     quorum.run(Duration(2000));
     TestMember* leader = quorum.leader();
     REQUIRE(leader != nullptr);
     quorum.submit(*leader, quorum.makeCall("east", true, "10.0.0.1"));
-    // One step writes the entry to the leader's disk and sends it; the answers of the others are still under way.
+    // The entry reaches the others within one step; their answers come in the next one.
     quorum.step();
+    REQUIRE(leader->answers.empty());
     leader->crash();
+    quorum.run(Duration(3000));
+    REQUIRE(quorum.leader() != nullptr);
+    CHECK(quorum.allShow({ "east" }));
+    const std::string before = firstDataCentre(*quorum.leader()).SerializeAsString();
     quorum.acknowledge("east", true, "10.0.0.2");
+    CHECK(firstDataCentre(*quorum.leader()).SerializeAsString() == before);
+    CHECK(firstDataCentre(*quorum.leader()).changed_by() == "10.0.0.1");
     leader->start();
     quorum.run(Duration(3000));
     CHECK(quorum.allShow({ "east" }));
-    const std::uint64_t revision = quorum.leader()->log->configuration().data_centres_revision();
+}
+
+TEST_CASE("an order whose leader is killed before anything was sent takes effect when it is sent again")
+{
+    EvacuationQuorum quorum(28);
+    quorum.run(Duration(2000));
+    TestMember* leader = quorum.leader();
+    REQUIRE(leader != nullptr);
+    quorum.submit(*leader, quorum.makeCall("east", true, "10.0.0.1"));
+    leader->outbox.clear();
+    leader->sync();
+    REQUIRE(leader->answers.empty());
+    leader->crash();
+    quorum.run(Duration(3000));
+    CHECK(quorum.allShow({}));
     quorum.acknowledge("east", true, "10.0.0.2");
-    CHECK(quorum.leader()->log->configuration().data_centres_revision() == revision);
+    // The killed leader has the first order at the same place in its log, where it was never committed.
+    leader->start();
+    quorum.run(Duration(3000));
+    CHECK(quorum.allShow({ "east" }));
+    CHECK(firstDataCentre(*leader).changed_by() == "10.0.0.2");
 }
 
 TEST_CASE("an evacuation survives a loss of power of all hosts, directly after the answer and after a snapshot")
