Keep restarted entry hosts waiting while an order in the log is unresolved

Cause: control hosts store the commit index up to 200 ms late and hand out their state before a leader is elected. Change: for the first 3 s after its start a control host whose log holds a change of a data centre that is not known to be committed gives no document to entry hosts that have none, so they are not ready; hosts that hold a document are served as before. A control host that was not in the majority of the order cannot know of it; its entry hosts still go by the older list until a leader is elected. Tested: libbergamot_test with a new case, testsuite.evacuation with a loss of power directly after the answer.

--- a/src/bergamot-directory/entry_sync.cpp
+++ b/src/bergamot-directory/entry_sync.cpp
@@ -20,6 +20,9 @@
     /// may have newer data.
     constexpr Duration isolatedAfter { 1200 };
     constexpr Duration maxHostAge { 5000 };
+    /// Maximum time after the start for which entry hosts that have just started wait until this host knows whether an
+    /// order in its log is in force; several elections.
+    constexpr Duration maxOrderWait { 3000 };
 
     std::uint64_t fingerprintOf(const std::vector<schema::EntryHostRecord>& hosts)
     {
@@ -39,6 +42,7 @@
     , m_quorum(quorum)
     , m_registry(registry)
     , m_replicator(replicator)
+    , m_startTime(loop.now())
     , m_updateTimer(loop, [this] { respondToPending(false); })
     , m_deadlineTimer(loop, [this] { respondToPending(false); })
 {
@@ -66,6 +70,12 @@
     m_deadlineTimer.start(deadlineCheck);
 }
 
+bool EntrySync::mayLackOrder(const schema::EntrySyncRequest& request) const
+{
+    return request.document_version() == 0 && m_loop.now() - m_startTime < maxOrderWait
+        && m_quorum.log().hasUncommittedDataCentreChange();
+}
+
 bool EntrySync::hasUpdate(const schema::EntrySyncRequest& request) const
 {
     return request.seen_epoch() != m_replicator.epoch() || request.seen_change() < m_registry.lastEvent()
@@ -84,7 +94,9 @@
     for (schema::TargetRecord& record : m_registry.eventsSince(isKnown ? request.seen_change() : 0, now))
         *response.add_targets() = std::move(record);
     const schema::Document& document = m_quorum.log().configuration().document();
-    if (document.version() > request.document_version())
+    // Without a document the entry host is not ready, so it places no flow by an older list.
+    const bool lacksOrder = mayLackOrder(request);
+    if (document.version() > request.document_version() && !lacksOrder)
         response.set_routing_table(document.routing_table());
     if (auto list = findNewerList(m_quorum.log().configuration(), request.data_centres_revision()))
         *response.mutable_stopped_data_centres() = std::move(*list);
@@ -96,7 +108,7 @@
     }
     for (const schema::ControlHostRecord& host : m_replicator.controlHosts(maxHostAge))
         *response.add_control_hosts() = host;
-    response.set_isolated(!m_quorum.hasRecentQuorum(isolatedAfter) || !m_replicator.isWarmedUp());
+    response.set_isolated(lacksOrder || !m_quorum.hasRecentQuorum(isolatedAfter) || !m_replicator.isWarmedUp());
     reply.send(statusOk, response.SerializeAsString());
 }
 
--- a/src/bergamot-directory/entry_sync.h
+++ b/src/bergamot-directory/entry_sync.h
@@ -33,6 +33,8 @@
     };
 
     void handleCall(const std::string& body, const RpcReply& reply);
+    /// @return true if the entry host has just started and this host may lack an evacuation that was acknowledged.
+    bool mayLackOrder(const schema::EntrySyncRequest& request) const;
     bool hasUpdate(const schema::EntrySyncRequest& request) const;
     void respond(const schema::EntrySyncRequest& request, const RpcReply& reply);
     void respondToPending(bool all);
@@ -41,6 +43,7 @@
     const QuorumHost& m_quorum;
     const TargetRegistry& m_registry;
     DirectoryReplicator& m_replicator;
+    TimePoint m_startTime;
     std::vector<PendingCall> m_pendingCalls;
     Timer m_updateTimer;
     Timer m_deadlineTimer;
--- a/src/include/bergamotroute/quorum_log.h
+++ b/src/include/bergamotroute/quorum_log.h
@@ -149,6 +149,10 @@
     std::uint64_t term() const;
     const schema::Configuration& configuration() const;
 
+    /// @return true if the log holds a change of a data centre that is not known to be committed: after a restart it
+    /// may have been acknowledged, and configuration() may be older than that.
+    bool hasUncommittedDataCentreChange() const;
+
     /// @return the members according to the last log entry or snapshot that changes them; the entry may not be
     /// committed yet.
     const std::vector<schema::ControlMember>& members() const;
--- a/src/libbergamot/quorum/evacuation_quorum_test.cpp
+++ b/src/libbergamot/quorum/evacuation_quorum_test.cpp
@@ -201,6 +201,34 @@
     CHECK(firstDataCentre(*quorum.leader()).SerializeAsString() == before);
 }
 
+// Guards against a restarted control host that hands out the state from before an acknowledged order as the current
+// one.
+TEST_CASE(
+    "after a loss of power directly after the answer a host that has the order shows it or knows that it is unsure")
+{
+    EvacuationQuorum quorum(29);
+    quorum.maxDelaySteps = 0;
+    quorum.run(Duration(2000));
+    TestMember* leader = quorum.leader();
+    REQUIRE(leader != nullptr);
+    const std::uint64_t token = quorum.submit(*leader, quorum.makeCall("east", true));
+    while (!leader->answers.contains(token))
+        quorum.step();
+    REQUIRE(leader->answers[token].outcome() == schema::OUTCOME_ACCEPTED);
+    quorum.losePower();
+    std::size_t aware = 0;
+    for (const auto& member : quorum.members) {
+        const bool shows = listStoppedDataCentres(member->log->configuration()).names_size() == 1;
+        aware += shows || member->log->hasUncommittedDataCentreChange() ? 1 : 0;
+    }
+    CHECK(aware >= 2);
+    CHECK_FALSE(quorum.allShow({ "east" }));
+    quorum.run(Duration(3000));
+    CHECK(quorum.allShow({ "east" }));
+    for (const auto& member : quorum.members)
+        CHECK_FALSE(member->log->hasUncommittedDataCentreChange());
+}
+
 TEST_CASE("a member that replaces a lost disk during an evacuation gets it, and holds it when the others are replaced")
 {
     EvacuationQuorum quorum(27);
--- a/src/libbergamot/quorum/quorum_log.cpp
+++ b/src/libbergamot/quorum/quorum_log.cpp
@@ -298,6 +298,18 @@
 
 const schema::Configuration& QuorumLog::configuration() const { return m_implementation->machine.configuration(); }
 
+bool QuorumLog::hasUncommittedDataCentreChange() const
+{
+    const Implementation& self = *m_implementation;
+    for (std::uint64_t index = self.commitIndex + 1; index <= self.window.lastIndex(); ++index) {
+        const auto& changes = self.window.at(index).command().changes();
+        if (std::any_of(changes.begin(), changes.end(),
+                [](const schema::Change& change) { return change.has_set_data_centre(); }))
+            return true;
+    }
+    return false;
+}
+
 const std::vector<schema::ControlMember>& QuorumLog::members() const { return m_implementation->members; }
 
 const std::string& QuorumLog::leader() const { return m_implementation->leader; }
