--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "bergamotroute/evacuation.h"
 #include "bergamotroute/routing_record.h"
+#include "libbergamotio/json_schema.h"
 #include "libbergamotio/log.h"
 #include "libbergamotio/metrics.h"
 #include "libbergamotio/process_time.h"
@@ -54,6 +55,7 @@
         options.slowStartFactor = settings.slow_start_factor();
         options.slowStartAllowance = settings.slow_start_allowance();
         options.targetHeartbeat = Duration(settings.target_heartbeat_ms());
+        options.learnCapacity = settings.learn_capacity();
         return options;
     }
 
@@ -150,6 +152,9 @@
     m_metricsServer.route("GET", "/metrics", HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
         exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
     });
+    m_metricsServer.route("GET", "/targets", HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->reply(HttpStatus::Ok, toJson(m_steering.targetCapacities(m_loop.now()), false), "application/json");
+    });
     const std::string metricsText = hostAndPort(m_settings.address(), m_settings.metrics_port());
     error = m_metricsServer.listen(parseEndpoint(metricsText));
     check(metricsText);
--- a/src/bergamot-entry/entry_metrics.cpp
+++ b/src/bergamot-entry/entry_metrics.cpp
@@ -15,6 +15,30 @@
 
 }
 
+void CookieEntryDaemon::addAdmissionMetrics(prometheus::Registry& registry) const
+{
+    const AdmissionMetrics admission = m_steering.admissionMetrics();
+    const auto add = [&registry](const std::string& name, const std::string& help, double value) {
+        setGauge(registry, "bergamot_entry_" + name, help, value);
+    };
+    add("bulk_flows", "Open flows that send much and take room on the link.", static_cast<double>(admission.bulkFlows));
+    add("bulk_room_bytes", "Room on the link for flows that send much.", admission.roomBytes);
+    add("bulk_room_taken_bytes", "Room on the link that open flows take.", static_cast<double>(admission.claimedBytes));
+    add("first_packets_waiting", "First packets that wait for room on the link.",
+        static_cast<double>(admission.waiting));
+    add("flows_waited_total", "Flows that waited for room on the link.", static_cast<double>(admission.waited));
+    add("second_choices_denied_total", "Repeated first packets that the budget of second choices kept at their target.",
+        static_cast<double>(m_steering.counters().secondChoicesDenied));
+    const auto addRefusals = [&registry](const std::string& route, const std::string& reason, std::uint64_t count) {
+        setGauge(registry, "bergamot_entry_flows_refused_total", "Flows refused for lack of room on the link.",
+            static_cast<double>(count), { { "route", route }, { "reason", reason } });
+    };
+    for (const FlowRefusals& refusals : admission.refusals) {
+        addRefusals(refusals.route, "no_room", refusals.noRoom);
+        addRefusals(refusals.route, "waited_too_long", refusals.waitedTooLong);
+    }
+}
+
 std::string CookieEntryDaemon::metrics() const
 {
     prometheus::Registry registry;
@@ -61,6 +85,22 @@
         static_cast<double>(counters.cookieUnknown));
     add("targets_avoided_total", "Times a target was avoided because first packets got no response.",
         static_cast<double>(counters.avoidedTargets));
+    const CapacitySummary capacity = m_steering.capacitySummary();
+    add("max_target_slowness", "Learned response time of the slowest target relative to a typical one; 1 is typical.",
+        capacity.maxSlowness);
+    add("slow_targets", "Targets that are learned to be more than twice as slow as a typical one.",
+        static_cast<double>(capacity.slowTargets));
+    add("limited_targets", "Targets with a limit on outstanding requests, because they have refused some.",
+        static_cast<double>(capacity.limitedTargets));
+    add("capacity_samples_total", "Response times that were used to learn the capacity of targets.",
+        static_cast<double>(capacity.samples));
+    add("capacity_refusals_total", "Responses that were taken for refusals of a full target.",
+        static_cast<double>(capacity.refusals));
+    add("capacity_samples_overloaded_total", "Response times dropped because the link of this host was overloaded.",
+        static_cast<double>(capacity.droppedOverloaded));
+    add("capacity_samples_ambiguous_total",
+        "Response times dropped because packets were retransmitted or have passed another host.",
+        static_cast<double>(capacity.droppedAmbiguous));
     add("flows", "Flows in the flow table.", static_cast<double>(m_steering.flowCount()));
     add("document_version", "Version of the routing document in force on this host.",
         static_cast<double>(m_steering.documentVersion()));
@@ -101,6 +141,7 @@
         static_cast<double>(logCounters().dropped));
     add("log_lines_suppressed_total", "Log lines suppressed by the rate limit of their result code.",
         static_cast<double>(logCounters().suppressed));
+    addAdmissionMetrics(registry);
     return serializeMetrics(registry) + serializeMetrics(m_histograms);
 }
 
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -13,6 +13,8 @@
 #include "bergamotroute/target_registry.h"
 #include "bergamotroute/types.h"
 
+#include "entry_pages.pb.h"
+
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -34,6 +36,8 @@
     std::size_t flowCapacity = 65'536;
     /// Capacity of this host's link in bytes per second; zero if unknown, in which case overload is not controlled.
     double linkBytesPerSecond = 0;
+    /// Learn from response times how much each target takes well; docs/design/learned_capacity.md.
+    bool learnCapacity = false;
     /// A target in slow start gets at most this factor times its service's rate, plus the allowance (requests per
     /// second), from all entry hosts together in any second. There is no limit if both are zero.
     double slowStartFactor = 0;
@@ -172,6 +176,19 @@
     std::vector<FlowRefusals> refusals;
 };
 
+/// What an entry host has learned of its targets, for metrics.
+struct CapacitySummary {
+    /// Slowness of the slowest target that takes new flows; 1 is typical.
+    double maxSlowness = 1;
+    std::size_t slowTargets = 0;
+    std::size_t limitedTargets = 0;
+    /// Counters since the start of the process.
+    std::uint64_t samples = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t droppedOverloaded = 0;
+    std::uint64_t droppedAmbiguous = 0;
+};
+
 /// Decides on the packets that one entry host receives.
 class CookieSteering {
 public:
@@ -203,6 +220,9 @@
     /// Records a response of a control host that is in contact with a majority.
     void refreshView(TimePoint now);
 
+    /// @return where a new flow would go now and why, without any effect.
+    schema::PlacementExplanation explainPlacement(const FlowId& flow, TimePoint now) const;
+
     /// Decides on a client's packet. String views in the result are valid until the next call.
     SteeringDecision handlePacket(const FlowPacket& packet, TimePoint now);
 
@@ -222,6 +242,16 @@
     /// @return the load that this host observes; each call takes the next sequence number.
     schema::TargetLoadReport makeReport();
 
+    /// Replaces the evidence on the capacity of targets in a report of this host. Does nothing unless capacity is
+    /// learned.
+    /// @param since time from which on evidence is to be reported: that of the last report to the same hosts.
+    void setEvidence(schema::TargetLoadReport& report, TimePoint since, TimePoint now) const;
+
+    CapacitySummary capacitySummary() const;
+
+    /// @return what is learned of each target that takes new flows, ordered by id.
+    schema::TargetCapacityPage targetCapacities(TimePoint now) const;
+
     /// @return true if this host controls overload: its link's capacity is known and the document in force has a route
     /// with large requests.
     bool controlsOverload() const;
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -1,6 +1,7 @@
 #include "bergamotroute/cookie_steering.h"
 
 #include "admission/flow_admission.h"
+#include "cookie/capacity_learning.h"
 #include "cookie/first_packet_steering.h"
 #include "cookie/slow_start_limit.h"
 #include "cookie/steering_decisions.h"
@@ -43,10 +44,15 @@
               { options.host, options.slowStartFactor, options.slowStartAllowance, options.targetHeartbeat }, pool)
         , firstPackets(routes, pool, flows, placement, reachability, slowStartLimit, counters)
         , admission(options.flowCapacity)
+        , learning(pool, options.host, options.dataCentre)
     {
         flows.setObserver(&slowStartLimit);
         placement.setSlowStartLimit(&slowStartLimit);
         updateOverload();
+        if (!options.learnCapacity)
+            return;
+        flows.setSamples(learning.samples());
+        firstPackets.setLearning(learning);
     }
 
     SteeringDecision handleSubsequentPacket(const FlowPacket& packet, TimePoint now);
@@ -76,6 +82,7 @@
     FlowAdmission admission;
     /// Keeps the names in the decisions that takeReleases() has returned.
     std::vector<AdmissionRelease> releases;
+    CapacityLearning learning;
     std::uint64_t reportSequence = 0;
 };
 
@@ -83,8 +90,11 @@
 {
     reachability.setOverloaded(isOverloaded());
     firstPackets.setOverload(controlsOverload(), isOverloaded());
-    const double bytesPerSecond = linkState.bytesPerSecond > 0 ? linkState.bytesPerSecond : options.linkBytesPerSecond;
-    admission.setLink(bytesPerSecond, linkState.urgentDelay);
+    LinkState state = linkState;
+    if (state.bytesPerSecond <= 0)
+        state.bytesPerSecond = options.linkBytesPerSecond;
+    admission.setLinkState(state);
+    learning.samples().setOverloaded(linkState.isOverloaded);
 }
 
 SteeringDecision CookieSteering::Implementation::decide(
@@ -104,6 +114,9 @@
     case FlowVerdict::RefuseWaitedTooLong:
         decision = refuse(packet, ResultCode::FlowWaitedTooLong);
         break;
+    case FlowVerdict::DropWaitedTooLong:
+        decision.code = ResultCode::FlowWaitedTooLong;
+        break;
     }
     decision.route = route;
     decision.retransmission = packet.acknowledgement;
@@ -232,6 +245,17 @@
                             : m_implementation->handleSubsequentPacket(packet, now);
 }
 
+schema::PlacementExplanation CookieSteering::explainPlacement(const FlowId& flow, TimePoint now) const
+{
+    FlowPacket packet;
+    packet.flow = flow;
+    packet.syn = true;
+    const FirstPacketSteering& firstPackets = m_implementation->firstPackets;
+    schema::PlacementExplanation explanation = firstPackets.explain(packet, now);
+    explanation.set_host(m_implementation->options.host);
+    return explanation;
+}
+
 std::vector<ProbeRequest> CookieSteering::takeProbes(TimePoint now)
 {
     std::vector<ProbeRequest> requests = m_implementation->reachability.takeProbes(now);
@@ -267,7 +291,8 @@
 void CookieSteering::handleReport(const schema::TargetLoadReport& report, TimePoint now)
 {
     const bool isLocal = report.data_centre() == m_implementation->options.dataCentre;
-    m_implementation->pool.setReport(report, isLocal, now);
+    if (m_implementation->pool.setReport(report, isLocal, now) && m_implementation->options.learnCapacity)
+        m_implementation->learning.handleReport(report, isLocal, now);
 }
 
 schema::TargetLoadReport CookieSteering::makeReport()
@@ -280,6 +305,22 @@
     return report;
 }
 
+void CookieSteering::setEvidence(schema::TargetLoadReport& report, TimePoint since, TimePoint now) const
+{
+    if (m_implementation->options.learnCapacity)
+        m_implementation->learning.setEvidence(report, since, now);
+}
+
+CapacitySummary CookieSteering::capacitySummary() const { return m_implementation->learning.summary(); }
+
+schema::TargetCapacityPage CookieSteering::targetCapacities(TimePoint now) const
+{
+    schema::TargetCapacityPage page = m_implementation->learning.describeTargets(now);
+    page.set_host(m_implementation->options.host);
+    page.set_learns(m_implementation->options.learnCapacity);
+    return page;
+}
+
 bool CookieSteering::controlsOverload() const { return m_implementation->controlsOverload(); }
 
 void CookieSteering::setLinkState(const LinkState& state)
@@ -315,6 +356,8 @@
     self.admission.advance(now);
     self.pool.expireReports(now);
     self.slowStartLimit.advance(now);
+    if (self.options.learnCapacity)
+        self.learning.advance(now);
     // The state of every flow is younger than this, so none refers to a removed target.
     self.reachability.prune();
     self.pool.purgeGone(2 * self.options.maxFlowAge, now);
--- a/src/libbergamot/cookie/first_packet_steering.h
+++ b/src/libbergamot/cookie/first_packet_steering.h
@@ -4,6 +4,7 @@
 /// Decides on first packets of flows: which route they belong to, which target gets a new flow, and whether a
 /// retransmission goes to the same target or to another one.
 
+#include "cookie/capacity_learning.h"
 #include "cookie/flow_table.h"
 #include "cookie/placement.h"
 #include "cookie/reachability_monitor.h"
@@ -36,14 +37,41 @@
         m_isOverloaded = isOverloaded;
     }
 
+    /// Sends slow targets their minimum traffic from now on.
+    /// @param learning must outlive the object.
+    void setLearning(const CapacityLearning& learning) { m_learning = &learning; }
+
+    /// @return the decision that a new flow would get now and why, without any effect; the same code decides in
+    /// handle().
+    schema::PlacementExplanation explain(const FlowPacket& packet, TimePoint now) const;
+
     /// Decides on a first packet. Views in the result are valid until the targets or the routes change.
     SteeringDecision handle(const FlowPacket& packet, TimePoint now);
 
 private:
-    SteeringDecision place(
-        const FlowPacket& packet, const std::string& service, const PooledTarget* excluded, TimePoint now);
-    SteeringDecision placeAgain(
-        const FlowPacket& packet, const std::string& service, FlowState& existing, TimePoint now);
+    /// Where a flow goes.
+    struct Plan {
+        /// FlowPlaced, or why the flow is refused.
+        ResultCode code = ResultCode::FlowPlaced;
+        /// Instead of being refused, the packet is held, because this host knows too little yet.
+        bool isHeld = false;
+        const Route* route = nullptr;
+        const std::string* service = nullptr;
+        PlacementChoice choice;
+    };
+
+    /// Finds route and service.
+    Plan findService(const FlowPacket& packet) const;
+    /// Chooses a target of the plan's service.
+    /// @param excluded the target that did not answer the flow's first packet; null for a new flow.
+    /// @param[out] weighed receives the targets that were weighed; may be null.
+    void chooseTarget(const FlowPacket& packet, Plan& plan, const PooledTarget* excluded, TimePoint now,
+        std::vector<WeighedTarget>* weighed = nullptr) const;
+    /// @return the slow target that a new flow tests, or null.
+    PooledTarget* chooseForMinimumTraffic(const FlowPacket& packet, const Plan& plan, TimePoint now) const;
+    SteeringDecision carryOut(const FlowPacket& packet, const Plan& plan, TimePoint now);
+    SteeringDecision placeAgain(const FlowPacket& packet, Plan& plan, FlowState& existing, TimePoint now);
+    void countRefusal(ResultCode code);
     /// @return true if a first packet may be sent to the flow's target again as the same request.
     bool mayRepeat(const FlowState& flow, const std::string& service, TimePoint now) const;
     void avoid(PooledTarget& target, TimePoint now);
@@ -59,6 +87,7 @@
     RetryBudget m_retryBudget;
     bool m_controlsOverload = false;
     bool m_isOverloaded = false;
+    const CapacityLearning* m_learning = nullptr;
 };
 
 }
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -9,6 +9,7 @@
 #include "bergamotroute/flow_packet.h"
 #include "bergamotroute/target_registry.h"
 #include "bergamotroute/types.h"
+#include "capacity/capacity_estimate.h"
 #include "cookie/stopped_data_centres.h"
 #include "cookie/target_reachability.h"
 
@@ -55,11 +56,20 @@
     /// Avoided for new flows before this time, because first packets got no response.
     TimePoint avoidUntil;
     std::uint32_t avoidCount = 0;
+    /// Learned speed and limit; typical as long as nothing is learned.
+    CapacityEstimate capacity;
+    /// When a request to the target was last seen here or reported.
+    TimePoint lastRequest;
+
+    /// @return outstanding requests, own and reported.
+    std::uint32_t requests() const { return ownLoad.requests + reportedLoad.requests; }
+    /// @return true if the target is expected to refuse a further request.
+    bool isAtLimit() const { return capacity.limit() && requests() >= *capacity.limit(); }
 
     bool takesNewFlows() const { return phase == schema::TARGET_READY && !cookieTaken && !dataCentreStopped; }
 
     /// @return true if the requests under way, own and reported, fill the target's slots.
-    bool isFull() const { return ownLoad.requests + reportedLoad.requests >= slots; }
+    bool isFull() const { return requests() >= slots; }
 };
 
 /// All targets by id and by cookie. Pointers stay valid until purgeGone().
@@ -77,7 +87,7 @@
     PooledTarget* findByCookie(Cookie cookie);
 
     /// @return targets of a service, or an empty list.
-    const std::vector<PooledTarget*>& targetsOf(const std::string& service);
+    const std::vector<PooledTarget*>& targetsOf(const std::string& service) const;
 
     /// Removes targets that have been gone for the given time, within which all flows to them have ended. Pointers to
     /// other targets stay valid.
@@ -85,7 +95,8 @@
 
     /// Replaces the load that another entry host reported.
     /// @param isLocal that host is in this host's data centre, so the targets that it cannot reach matter here.
-    void setReport(const schema::TargetLoadReport& report, bool isLocal, TimePoint now);
+    /// @return false if the report is older than the known one.
+    bool setReport(const schema::TargetLoadReport& report, bool isLocal, TimePoint now);
 
     /// Drops reports of hosts that have stopped reporting.
     void expireReports(TimePoint now);
@@ -122,14 +133,15 @@
         std::vector<Cookie> unreachable;
     };
 
-    /// Decides which target owns each cookie; does so once after any number of updates.
-    void resolveCookieConflicts();
+    /// Decides which target owns each cookie; does so once after any number of updates, when the result is needed.
+    void resolveCookieConflicts() const;
     void applyReport(const Report& report, int sign);
+    void noteRequests(const Report& report, TimePoint now);
 
     TargetNumberFunction m_targetNumberOf;
     std::map<std::string, std::unique_ptr<PooledTarget>, std::less<>> m_targets;
-    std::unordered_map<Cookie, PooledTarget*> m_byCookie;
-    bool m_cookiesStale = false;
+    mutable std::unordered_map<Cookie, PooledTarget*> m_byCookie;
+    mutable bool m_cookiesStale = false;
     std::unordered_map<std::string, std::vector<PooledTarget*>> m_byService;
     std::map<std::string, Report> m_reports;
     StoppedDataCentreList m_stoppedDataCentres;
