Evacuate data centres in the fault soak

Change: the soak orders and withdraws evacuations beside its other faults and checks that a known data centre is never refused and that targets get no new flow 3 s after the acknowledgement. The series of faults of a seed is unchanged.

--- a/src/soak/fleet.py
+++ b/src/soak/fleet.py
@@ -64,7 +64,7 @@
         self.controls = [
             Host(f"{binaries}/bergamot-directory", f"control-{i + 1}", ZONES[i % len(ZONES)], address,
                  {"operator_listen": self.operators[i], "data_folder": str(self.folder / f"disk-{i + 1}"),
-                  "seeds": seeds, "bootstrap": True}, self.folder)
+                  "seeds": seeds, "data_centres": list(ZONES), "bootstrap": True}, self.folder)
             for i, address in enumerate(addresses)]
         self.entries = [
             Host(f"{binaries}/bergamot-entry", f"entry-{i + 1}", ZONES[i % len(ZONES)], f"127.{net}.2.{i + 1}",
--- a/src/soak/soak.py
+++ b/src/soak/soak.py
@@ -18,7 +18,7 @@
 from collections import Counter
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from fleet import PACKET_PORT, READY_PORT, Fleet  # noqa: E402
+from fleet import PACKET_PORT, READY_PORT, ZONES, Fleet  # noqa: E402
 from standins import Client, Flow, Target, call_http  # noqa: E402
 
 SERVICE_ADDRESS = "198.18.0.1"
@@ -26,6 +26,8 @@
 SERVICES = {REPEATABLE_PORT: "orders", ONCE_PORT: "manifests"}
 # After the last fault everything must be well again within this time.
 RECOVERY_SECONDS = 12.0
+# An acknowledged evacuation is in force on every entry host that can be reached within this time.
+EVACUATION_SECONDS = 3.0
 
 
 class Journal:
@@ -35,6 +37,8 @@
         self.faults = []
         self.counts = Counter()
         self.runs = {}
+        # Time of the acknowledgement of each evacuation whose withdrawal has not begun.
+        self.evacuations = {}
         self.started = time.monotonic()
 
     def fault(self, promise, detail):
@@ -49,6 +53,10 @@
             self.fault("a request ran twice", f"{request} at {self.runs[request]} and {target}")
         self.runs[request] = target
 
+    def is_evacuated(self, zone):
+        """True if the zone must not get new flows."""
+        return time.monotonic() - self.evacuations.get(zone, float("inf")) > EVACUATION_SECONDS
+
     @staticmethod
     def allowed_services(port):
         return {SERVICES.get(port)}
@@ -112,6 +120,40 @@
         return True
 
 
+class Evacuator:
+    """Evacuates one zone after the other and returns it to service; repeats calls as the platform's callers do."""
+
+    def __init__(self, fleet, journal, seed):
+        # A series of its own, so that the faults of a seed are those of a run without evacuations.
+        self.fleet, self.journal, self.rng = fleet, journal, random.Random(f"evacuations {seed}")
+
+    async def call(self, method, zone, tries=40):
+        for _ in range(tries):
+            status, _ = await call_http(self.rng.choice(self.fleet.operators), method, f"/v1/evacuations/{zone}")
+            if status == 200:
+                self.journal.counts["evacuations" if method == "POST" else "withdrawals"] += 1
+                return True
+            if status in (400, 404, 405, 409, 412, 413, 422):
+                self.journal.fault("a valid evacuation call was refused", f"{method} {zone}: status {status}")
+                return False
+            await asyncio.sleep(0.1)
+        self.journal.counts[f"evacuation calls without an answer ({method})"] += 1
+        return False
+
+    async def run(self, is_over):
+        while not is_over():
+            zone = self.rng.choice(ZONES)
+            if await self.call("POST", zone):
+                self.journal.evacuations[zone] = time.monotonic()
+            await asyncio.sleep(self.rng.uniform(3, 6))
+            if self.rng.random() < 0.3:
+                await self.call("POST", zone)
+            self.journal.evacuations.pop(zone, None)
+            while not await self.call("DELETE", zone) and not is_over():
+                pass
+            await asyncio.sleep(self.rng.uniform(0, 2))
+
+
 class Soak:
     """One run."""
 
@@ -123,6 +165,7 @@
         self.net = net
         self.fleet = Fleet(arguments.binaries, arguments.folder, net, arguments.controls, arguments.entries)
         self.operator = Operator(self.fleet, self.journal, self.rng)
+        self.evacuator = Evacuator(self.fleet, self.journal, arguments.seed)
         self.ready = set()
         self.last_fault = 0.0
         self.targets = []
@@ -299,7 +342,10 @@
             await asyncio.sleep(2)
             background += [asyncio.create_task(self.run_client(i)) for i in range(12)]
             background.append(asyncio.create_task(self.run_operator()))
+            end = time.monotonic() + self.arguments.seconds
+            evacuations = asyncio.create_task(self.evacuator.run(lambda: time.monotonic() >= end))
             await self.run_faults(self.arguments.seconds)
+            await evacuations
             await self.check_recovery()
             self.stopping = True
             await asyncio.gather(*background)
--- a/src/soak/standins.py
+++ b/src/soak/standins.py
@@ -165,6 +165,8 @@
         late = self.drain_acknowledged and time.monotonic() - self.drain_acknowledged > 3.0
         if late and key not in self.flows:
             self.journal.fault("a new flow 3 s after an acknowledged drain", self.ident)
+        if self.journal.is_evacuated(self.zone) and key not in self.flows:
+            self.journal.fault("a new flow 3 s after an acknowledged evacuation", f"{self.ident} at {self.zone}")
         if self.service not in self.journal.allowed_services(packet.dport):
             self.journal.fault("a flow at a service that its route never named", self.ident)
         flow = self.flows.setdefault(key, {"seq": random.getrandbits(31), "ran": set()})
