--- a/src/libbergamot/configuration/data_centre_state_test.cpp
+++ b/src/libbergamot/configuration/data_centre_state_test.cpp
@@ -23,6 +23,21 @@
         return machine.apply(entry);
     }
 
+    /// Adds a service that one data centre serves.
+    void addServiceAt(const std::string& dataCentre)
+    {
+        schema::LogEntry entry;
+        entry.set_index(1);
+        entry.mutable_command()->set_request_id("service");
+        schema::Service& service = *entry.mutable_command()->add_changes()->mutable_add_service();
+        service.set_name("ordering");
+        service.set_address("10.9.0.1");
+        service.add_ports(443);
+        service.set_protocol(schema::TCP);
+        service.add_data_centres(dataCentre);
+        REQUIRE(machine.apply(entry).outcome() == schema::OUTCOME_ACCEPTED);
+    }
+
     const schema::Configuration& configuration() const { return machine.configuration(); }
 
     ConfigurationMachine machine;
@@ -77,16 +92,7 @@
 TEST_CASE("an order for the last data centre is carried out")
 {
     Orders orders;
-    schema::LogEntry entry;
-    entry.set_index(1);
-    entry.mutable_command()->set_request_id("service");
-    schema::Service& service = *entry.mutable_command()->add_changes()->mutable_add_service();
-    service.set_name("ordering");
-    service.set_address("10.9.0.1");
-    service.add_ports(443);
-    service.set_protocol(schema::TCP);
-    service.add_data_centres("east");
-    REQUIRE(orders.machine.apply(entry).outcome() == schema::OUTCOME_ACCEPTED);
+    orders.addServiceAt("east");
     CHECK(orders.send("east", true).outcome() == schema::OUTCOME_ACCEPTED);
     CHECK(listStoppedDataCentres(orders.configuration()).names_size() == 1);
 }
@@ -95,19 +101,11 @@
 TEST_CASE("a rejected stop keeps the record of the last withdrawal")
 {
     Orders orders;
-    schema::LogEntry entry;
-    entry.set_index(1);
-    entry.mutable_command()->set_request_id("service");
-    schema::Service& service = *entry.mutable_command()->add_changes()->mutable_add_service();
-    service.set_name("ordering");
-    service.set_address("10.9.0.1");
-    service.add_ports(443);
-    service.set_protocol(schema::TCP);
-    service.add_data_centres("east");
-    REQUIRE(orders.machine.apply(entry).outcome() == schema::OUTCOME_ACCEPTED);
+    orders.addServiceAt("east");
     orders.send("east", true);
     orders.send("east", false);
     const std::string before = orders.configuration().SerializeAsString();
+    schema::LogEntry entry;
     entry.set_index(9);
     *entry.mutable_command() = makeEvacuationCommand({ "east", true, "10.0.0.9", 9000 }, "without-force");
     entry.mutable_command()->set_force(false);
