Add bergamotctl where, which explains where a live entry host would send a new flow

GET /where on the metrics listener asks the code that places flows; the command prints route, service, verdict, and the cost of each target with its parts.

--- a/packaging/bergamotctl.bash
+++ b/packaging/bergamotctl.bash
@@ -7,7 +7,7 @@
     done
     local offer=
     case ${#words[@]}:${words[0]} in
-    0:*) offer="service backend target datacentre host control status dump history watch check explain timeline manifest runbook request settings-page result-codes-page completion-script command-names" ;;
+    0:*) offer="service backend target datacentre host control status dump history watch check explain timeline where manifest runbook request settings-page result-codes-page completion-script command-names" ;;
     1:backend) offer="list drain ready weight maintenance remove" ;;
     1:control) offer="status add promote remove replace" ;;
     1:datacentre) offer="stop start" ;;
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -1,7 +1,6 @@
 #include "bergamot-entry/cookie_entry_daemon.h"
 
 #include "bergamotroute/routing_record.h"
-#include "libbergamotio/json_schema.h"
 #include "libbergamotio/log.h"
 #include "libbergamotio/metrics.h"
 #include "libbergamotio/process_time.h"
@@ -142,12 +141,7 @@
     error = m_readinessServer.listen(parseEndpoint(m_settings.readiness_listen()));
     if (!check(m_settings.readiness_listen()) || m_settings.metrics_port() == 0)
         return error;
-    m_metricsServer.route("GET", "/metrics", HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
-        exchange->reply(HttpStatus::Ok, metrics(), "text/plain; version=0.0.4");
-    });
-    m_metricsServer.route("GET", "/targets", HttpAccess::Open, [this](const std::shared_ptr<HttpExchange>& exchange) {
-        exchange->reply(HttpStatus::Ok, toJson(m_steering.targetCapacities(m_loop.now()), false), "application/json");
-    });
+    addPages();
     const std::string metricsText = hostAndPort(m_settings.address(), m_settings.metrics_port());
     error = m_metricsServer.listen(parseEndpoint(metricsText));
     check(metricsText);
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -45,6 +45,8 @@
 
 private:
     std::error_code openListeners();
+    /// Adds the pages that the metrics listener serves.
+    void addPages();
     void addSeeds(const schema::CookieEntrySettings& settings);
     void handleSyncResponse(const schema::EntrySyncAnswer& response);
     void installRoutingTable(const std::string& routingTable);
--- a/src/bergamotctl/commands.h
+++ b/src/bergamotctl/commands.h
@@ -103,6 +103,7 @@
 ExitStatus runBackendMaintenance(Session& session, Arguments arguments);
 ExitStatus runBackendRemove(Session& session, Arguments arguments);
 ExitStatus runTargetCapacity(Session& session, Arguments arguments);
+ExitStatus runWhere(Session& session, Arguments arguments);
 ExitStatus runStatus(Session& session, Arguments arguments);
 ExitStatus runDataCentreStop(Session& session, Arguments arguments);
 ExitStatus runDataCentreStart(Session& session, Arguments arguments);
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -442,3 +442,24 @@
     CHECK(steering.flowCount() == 0);
     CHECK(handle(firstPacket(2)).action == SteeringAction::Forward);
 }
+
+TEST_CASE_FIXTURE(
+    Fixture, "the explanation of a new flow names the target that it then gets, and asking changes nothing")
+{
+    for (std::uint16_t port = 1; port <= 10; ++port) {
+        const FlowPacket first = firstPacket(port);
+        const schema::PlacementExplanation explanation = steering.explainPlacement(first.flow, clock.now());
+        CHECK(explanation.code() == static_cast<std::uint32_t>(ResultCode::FlowPlaced));
+        CHECK(explanation.targets_size() == 3);
+        CHECK(
+            steering.explainPlacement(first.flow, clock.now()).SerializeAsString() == explanation.SerializeAsString());
+        CHECK(steering.counters().firstPackets == port - 1U);
+        const SteeringDecision decision = handle(first);
+        CHECK(decision.target == explanation.target());
+        for (const schema::TargetCostState& state : explanation.targets())
+            CHECK((state.target() != decision.target || state.cost() == decision.cost));
+    }
+    const FlowPacket unknown = firstPacket(1, 81);
+    CHECK(steering.explainPlacement(unknown.flow, clock.now()).code()
+        == static_cast<std::uint32_t>(ResultCode::FlowRouteUnknown));
+}
