Let evidence of this data centre decide alone, and demand more of it before a target counts as slow

Change: evidence of other data centres counts only below one sample of this one; the noise threshold is 1.25 instead of 1 over the root of the samples; four instead of five newer samples halve a weight.

--- a/src/libbergamot/capacity/capacity_estimate.cpp
+++ b/src/libbergamot/capacity/capacity_estimate.cpp
@@ -18,19 +18,21 @@
     constexpr double significanceHalfLifeMs = 2000;
     /// Newer samples by which an evidence loses half of its weight. Where samples are frequent, the latest ones decide,
     /// so that a change shows earlier.
-    constexpr double halvingSamples = 5;
+    constexpr double halvingSamples = 4;
     /// Number of decayed samples below which evidence is dropped.
     constexpr double minSamples = 1.0 / 16;
     /// Largest numbers of samples that count of this host and of a reporting one. A host sends a flow to a given target
     /// once in 1 to 50 s, so the latter concerns only hosts that report false values.
     constexpr double maxOwnSamples = 4;
     constexpr double maxReportedSamples = 1;
-    /// Weight of evidence from another data centre: the path to the target may be the cause, and it is a second old.
+    /// Weight of evidence from other data centres, and number of samples of this data centre from which on it does not
+    /// count: the path to the target may be the cause, and it is a second old.
     constexpr double remoteWeight = 0.25;
+    constexpr double sufficientSamples = 1;
     /// Requests of one route differ in length with a spread of 0.5 (natural logarithm), so the standard error of a
-    /// median is 0.63 divided by the root of the number of samples. A deviation within 1.6 standard errors counts as
+    /// median is 0.63 divided by the root of the number of samples. A deviation within 2 standard errors counts as
     /// none.
-    constexpr double noise = 1.0;
+    constexpr double noise = 1.25;
     /// Smallest deviation that counts: below it, differences between targets do not matter to callers, and placement
     /// stays as it is without learning.
     constexpr double minDeviation = 0.4;
@@ -188,7 +190,14 @@
     if (own)
         add({ 0, true, own->logSlowness, std::min(own->samples, maxOwnSamples), {}, m_lastSample });
     // The latest come last.
-    std::for_each(m_reported.rbegin(), m_reported.rend(), add);
+    for (const bool isLocal : { true, false }) {
+        if (!isLocal && m_evidence >= sufficientSamples)
+            break;
+        for (auto evidence = m_reported.rbegin(); evidence != m_reported.rend(); ++evidence) {
+            if (evidence->isLocal == isLocal)
+                add(*evidence);
+        }
+    }
     m_slowness = 1;
     // No single sample and no single reporting host decides: the request may be a long one, the host may be wrong.
     const double confirmed = m_evidence - largest;
