Mend findings of a review: dead idle targets, overload and probes, learned evidence, hosts without local targets

Cause and change: - A target that died while it was idle counted as full by the requests that had piled up there, so that the verdict took 1.7 s; only reported requests count now if it has not responded within a second. The load after a response counts, not before it, since a target with one slot was always full before it. - An overloaded host probed a suspected target without a pause if the reference target was silent too; such outcomes now count as unjudged. A target could stand in the list of suspects several times. - Released first packets could wait up to 100 ms in the scheduler; the release now arms its timer. - A refusal passed old response times on as new evidence; hosts without local targets compared all targets by old reports; hosts of every data centre sent minimum traffic to a slow target. - An order without a name is answered 400 also if a target states no data centre. The tests of dead idle targets, of probes under overload, of old evidence and of hosts without local targets fail without the change.

--- a/src/bergamot-directory/evacuation_routes.cpp
+++ b/src/bergamot-directory/evacuation_routes.cpp
@@ -111,6 +111,8 @@
 
 bool EvacuationRoutes::isKnown(const std::string& dataCentre) const
 {
+    if (dataCentre.empty())
+        return false;
     const auto& configured = m_settings.data_centres();
     if (std::find(configured.begin(), configured.end(), dataCentre) != configured.end())
         return true;
--- a/src/bergamot-entry/paced_sender.h
+++ b/src/bergamot-entry/paced_sender.h
@@ -82,7 +82,7 @@
     UdpSocket& m_socket;
     double m_linkBytesPerSecond;
     TrafficSource m_otherTraffic;
-    /// Version of the document that the switch was last applied for; controlsOverload() looks at all routes.
+    /// Version of the document that the switch was last applied for.
     std::uint64_t m_documentVersion = 0;
     /// Empty while overload is not controlled.
     std::unique_ptr<Control> m_control;
--- a/src/bergamot-entry/packet_path.cpp
+++ b/src/bergamot-entry/packet_path.cpp
@@ -45,7 +45,7 @@
     , m_releaseTimer(loop,
           [this] {
               releaseWaitingPackets();
-              m_socket.flush();
+              m_sender.finishBatch();
           })
     , m_probeTimer(loop, [this] { startProbes(); })
 {
--- a/src/libbergamot/capacity/capacity_estimate.cpp
+++ b/src/libbergamot/capacity/capacity_estimate.cpp
@@ -145,13 +145,14 @@
         return std::nullopt;
     const bool countsOverdue = m_overdueCount > 0 && now - m_overdueAt <= overdueValidity;
     CapacityEvidence evidence;
-    evidence.samples = m_samples + (countsOverdue ? m_overdueCount : 0);
     evidence.limit = currentLimit(m_ownLimit, slots, now);
+    // A later refusal is no new evidence of the speed.
     const bool isOld = std::exp2(-ageMs(m_lastSample, now) / significanceHalfLifeMs) < minSamples;
+    evidence.samples = (isOld ? 0 : m_samples) + (countsOverdue ? m_overdueCount : 0);
     if (isOld && !evidence.limit)
         return std::nullopt;
     if (evidence.samples > 0)
-        evidence.logSlowness = (m_logSum + (countsOverdue ? m_overdueLogSum : 0)) / evidence.samples;
+        evidence.logSlowness = ((isOld ? 0 : m_logSum) + (countsOverdue ? m_overdueLogSum : 0)) / evidence.samples;
     return evidence;
 }
 
--- a/src/libbergamot/capacity/capacity_exchange_test.cpp
+++ b/src/libbergamot/capacity/capacity_exchange_test.cpp
@@ -142,3 +142,18 @@
         CHECK(std::count_if(views.begin(), views.end(), [target](const auto& view) { return view.isTesterOf(target); })
             == 2);
 }
+
+TEST_CASE("a refusal does not pass an old response time on as new evidence")
+{
+    constexpr std::uint32_t slots = 2;
+    ManualClock clock;
+    CapacityEstimate estimate;
+    estimate.addSample(6, clock.now());
+    clock.advance(Duration(20'000));
+    estimate.addRefusal(10, slots, clock.now());
+    const auto evidence = estimate.ownEvidence(slots, clock.now());
+    REQUIRE(evidence);
+    CHECK(evidence->samples == 0);
+    CHECK(evidence->logSlowness == 0);
+    CHECK(evidence->limit == 9);
+}
--- a/src/libbergamot/cookie/capacity_learning.cpp
+++ b/src/libbergamot/cookie/capacity_learning.cpp
@@ -40,9 +40,10 @@
 
 bool CapacityLearning::needsMinimumTraffic(const PooledTarget& target, TimePoint now) const
 {
-    return target.takesNewFlows() && !target.silent && target.avoidUntil <= now && !target.reachability.isUnreachable()
-        && !target.reachability.isReported() && target.capacity.slowness() > slowTarget
-        && now - target.lastRequest >= maxIdleTime && !target.isAtLimit() && m_hosts.isTesterOf(target.number);
+    return target.dataCentre == m_dataCentre && target.takesNewFlows() && !target.silent && target.avoidUntil <= now
+        && !target.reachability.isUnreachable() && !target.reachability.isReported()
+        && target.capacity.slowness() > slowTarget && now - target.lastRequest >= maxIdleTime && !target.isAtLimit()
+        && m_hosts.isTesterOf(target.number);
 }
 
 PooledTarget* CapacityLearning::chooseForMinimumTraffic(
--- a/src/libbergamot/cookie/capacity_learning.h
+++ b/src/libbergamot/cookie/capacity_learning.h
@@ -20,6 +20,7 @@
     /// @param host name of this entry host.
     CapacityLearning(TargetPool& pool, const std::string& host, std::string dataCentre)
         : m_pool(pool)
+        , m_dataCentre(dataCentre)
         , m_hosts(host, std::move(dataCentre))
     {
     }
@@ -54,6 +55,7 @@
     bool needsMinimumTraffic(const PooledTarget& target, TimePoint now) const;
 
     TargetPool& m_pool;
+    std::string m_dataCentre;
     ResponseSamples m_samples;
     EvidenceHosts m_hosts;
 };
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -16,11 +16,11 @@
     /// A target that is gone may still be sending its last responses; its flows are reset only after this time.
     constexpr Duration resetDelayAfterGone { 300 };
 
-    void markResponsive(PooledTarget& target, bool wasFull, TimePoint now)
+    void markResponsive(PooledTarget& target, TimePoint now)
     {
         target.avoidUntil = {};
         target.avoidCount = 0;
-        target.reachability.recordResponse(now, wasFull);
+        target.reachability.recordResponse(now, target.isFull());
     }
 
 }
@@ -179,11 +179,10 @@
         decision.service = target->service;
         return decision;
     }
-    const bool wasFull = target->isFull();
     const FlowObservation observation = flows.observe(packet, *target, now);
     const bool isReported = target->reachability.isReported() && packet.payloadBytes > 0;
     if (observation == FlowObservation::Responded)
-        markResponsive(*target, wasFull, now);
+        markResponsive(*target, now);
     else if (observation == FlowObservation::Retransmitted || isReported)
         reachability.suspect(*target, now);
     // Data sent to an unreachable target is lost. A reset lets the client retry an idempotent request at once.
--- a/src/libbergamot/cookie/first_packet_steering.h
+++ b/src/libbergamot/cookie/first_packet_steering.h
@@ -30,7 +30,8 @@
     }
 
     /// @param controlsOverload second choices are limited by a budget.
-    /// @param isOverloaded a missing response does not speak against a target, because this host's link is full.
+    /// @param isOverloaded a missing response is no sign that a target is unreachable, because this host's link is
+    /// full.
     void setOverload(bool controlsOverload, bool isOverloaded)
     {
         m_controlsOverload = controlsOverload;
--- a/src/libbergamot/cookie/full_target_test.cpp
+++ b/src/libbergamot/cookie/full_target_test.cpp
@@ -94,3 +94,28 @@
     CHECK_FALSE(host.probe(cookie, ProbeOutcome::NoAnswer));
     CHECK(host.handle(subsequentPacket(first, cookie, 1101, 100, 600)).action == SteeringAction::Forward);
 }
+
+TEST_CASE("a target that dies while it is idle is unreachable within 0.4 s, although its last requests fill its slots")
+{
+    SteeringFixture host(0);
+    std::vector<FlowPacket> flows { firstPacket(1, lookupPort) };
+    const Cookie cookie = host.openAndSendRequest(flows[0]);
+    for (std::uint16_t port = 2; flows.size() < 2; ++port) {
+        const FlowPacket first = firstPacket(port, lookupPort);
+        if (host.openAndSendRequest(first) == cookie)
+            flows.push_back(first);
+    }
+    for (const FlowPacket& first : flows)
+        host.handle(subsequentPacket(first, cookie, 1101, 0, 600));
+    host.clock.advance(Duration(2000));
+    const TimePoint died = host.clock.now();
+    for (int copy = 0; copy < 2; ++copy) {
+        for (const FlowPacket& first : flows)
+            host.handle(subsequentPacket(first, cookie, 1101, 100, 600));
+        host.clock.advance(copy == 0 ? Duration(200) : Duration(0));
+    }
+    host.probe(cookie, ProbeOutcome::NoAnswer);
+    CHECK(host.probe(cookie, ProbeOutcome::NoAnswer));
+    CHECK(host.clock.now() - died <= Duration(400));
+    CHECK(host.handle(subsequentPacket(flows[0], cookie, 1101, 100, 600)).action == SteeringAction::Reset);
+}
--- a/src/libbergamot/cookie/placement.cpp
+++ b/src/libbergamot/cookie/placement.cpp
@@ -43,8 +43,11 @@
     }
     const double disturbedShare
         = static_cast<double>(disturbedCount) / static_cast<double>(std::max<std::size_t>(1, localCount + remoteCount));
-    if (localCount == 0 || disturbedShare < m_options.disturbedShare)
+    if (disturbedShare < m_options.disturbedShare)
         return {};
+    // A host without a local target, as during an evacuation, compares as many of the others.
+    if (localCount == 0)
+        return { 1, m_options.sampledLocalTargets / static_cast<double>(std::max<std::size_t>(1, remoteCount)) };
     return { m_options.sampledLocalTargets / static_cast<double>(localCount),
         m_options.sampledRemoteTargets / static_cast<double>(std::max<std::size_t>(1, remoteCount)) };
 }
--- a/src/libbergamot/cookie/placement_test.cpp
+++ b/src/libbergamot/cookie/placement_test.cpp
@@ -5,7 +5,9 @@
 #include "cookie/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace bergamotroute;
 
@@ -145,3 +147,25 @@
     targets[1].capacity.refresh(slots, clock.now());
     CHECK(!targets[1].capacity.limit());
 }
+
+TEST_CASE_FIXTURE(TwoDataCentres,
+    "a host without local targets spreads flows over the others while some of them are slow, instead of choosing one")
+{
+    std::vector<PooledTarget> remote(24);
+    std::vector<PooledTarget*> remotePointers;
+    for (PooledTarget& target : remote) {
+        target.number = remotePointers.size() + 1;
+        target.dataCentre = std::string(1, 'b');
+        target.slots = slots;
+        const double ratio = remotePointers.size() < remote.size() / 4 ? 8 : 1;
+        for (int sample = 0; sample < 8; ++sample)
+            target.capacity.addSample(ratio, clock.now());
+        target.capacity.setReported(1, { std::log(ratio), 1, {} }, true, clock.now());
+        target.capacity.refresh(slots, clock.now());
+        remotePointers.push_back(&target);
+    }
+    std::set<std::uint64_t> chosen;
+    for (std::uint64_t flow = 0; flow < 100; ++flow)
+        chosen.insert(placement.choose(remotePointers, nullptr, clock.now(), flow).target->number);
+    CHECK(chosen.size() > 1);
+}
--- a/src/libbergamot/cookie/reachability_monitor.cpp
+++ b/src/libbergamot/cookie/reachability_monitor.cpp
@@ -1,5 +1,7 @@
 #include "cookie/reachability_monitor.h"
 
+#include <algorithm>
+
 namespace bergamotroute {
 
 namespace {
@@ -13,8 +15,10 @@
 {
     if (target.reachability.isSuspected() || target.phase == schema::TARGET_GONE)
         return;
-    target.reachability.suspect(now, target.isFull());
-    m_suspects.push_back(&target);
+    target.reachability.suspect(now, target.isReportedFull());
+    // A target whose suspicion has ended since the last prune() is still in the list.
+    if (std::find(m_suspects.begin(), m_suspects.end(), &target) == m_suspects.end())
+        m_suspects.push_back(&target);
 }
 
 void ReachabilityMonitor::suspectDataCentre(const PooledTarget& unreachable, TimePoint now)
@@ -68,7 +72,7 @@
 
 bool ReachabilityMonitor::handleOutcome(PooledTarget& target, ProbeOutcome outcome, TimePoint now)
 {
-    if (m_isOverloaded && outcome == ProbeOutcome::NoAnswer) {
+    if (m_isOverloaded && (outcome == ProbeOutcome::NoAnswer || outcome == ProbeOutcome::Inconclusive)) {
         target.reachability.recordUnjudged(now);
         return false;
     }
--- a/src/libbergamot/cookie/target_pool.cpp
+++ b/src/libbergamot/cookie/target_pool.cpp
@@ -141,7 +141,7 @@
     return found == m_byService.end() ? none : found->second;
 }
 
-void TargetPool::applyReport(const Report& report, int sign)
+void TargetPool::applyReport(const Report& report, int sign, TimePoint now)
 {
     for (const auto& [cookie, load] : report.loads) {
         PooledTarget* target = findByCookie(cookie);
@@ -150,6 +150,8 @@
         if (sign > 0) {
             target->reportedLoad.openFlows += load.openFlows;
             target->reportedLoad.requests += load.requests;
+            if (load.requests > 0)
+                target->lastRequest = now;
         } else {
             target->reportedLoad.openFlows -= std::min(target->reportedLoad.openFlows, load.openFlows);
             target->reportedLoad.requests -= std::min(target->reportedLoad.requests, load.requests);
@@ -166,21 +168,12 @@
     }
 }
 
-void TargetPool::noteRequests(const Report& report, TimePoint now)
-{
-    for (const auto& [cookie, load] : report.loads) {
-        PooledTarget* target = load.requests > 0 ? findByCookie(cookie) : nullptr;
-        if (target)
-            target->lastRequest = now;
-    }
-}
-
 bool TargetPool::setReport(const schema::TargetLoadReport& report, bool isLocal, TimePoint now)
 {
     Report& entry = m_reports[report.host()];
     if (report.sequence() <= entry.sequence && now < entry.validUntil)
         return false;
-    applyReport(entry, -1);
+    applyReport(entry, -1, now);
     entry.validUntil = now + std::min(maxValidity, Duration(report.valid_ms()));
     entry.sequence = report.sequence();
     entry.loads.clear();
@@ -190,8 +183,7 @@
     entry.unreachable.clear();
     if (isLocal && !report.overloaded())
         entry.unreachable.assign(report.unreachable_cookies().begin(), report.unreachable_cookies().end());
-    applyReport(entry, 1);
-    noteRequests(entry, now);
+    applyReport(entry, 1, now);
     return true;
 }
 
@@ -202,7 +194,7 @@
             ++report;
             continue;
         }
-        applyReport(report->second, -1);
+        applyReport(report->second, -1, now);
         report = m_reports.erase(report);
     }
 }
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -70,6 +70,10 @@
 
     /// @return true if the requests under way, own and reported, fill the target's slots.
     bool isFull() const { return requests() >= slots; }
+
+    /// @return true if the requests that other hosts report fill the target's slots. Own requests that get no response
+    /// pile up at a dead target, too.
+    bool isReportedFull() const { return reportedLoad.requests >= slots; }
 };
 
 /// All targets by id and by cookie. Pointers stay valid until purgeGone().
@@ -135,8 +139,8 @@
 
     /// Decides which target owns each cookie; does so once after any number of updates, when the result is needed.
     void resolveCookieConflicts() const;
-    void applyReport(const Report& report, int sign);
-    void noteRequests(const Report& report, TimePoint now);
+    /// @param sign 1 adds a report, -1 takes it back.
+    void applyReport(const Report& report, int sign, TimePoint now);
 
     TargetNumberFunction m_targetNumberOf;
     std::map<std::string, std::unique_ptr<PooledTarget>, std::less<>> m_targets;
--- a/src/libbergamot/cookie/target_reachability.cpp
+++ b/src/libbergamot/cookie/target_reachability.cpp
@@ -35,10 +35,10 @@
     m_nextProbe = now;
 }
 
-void TargetReachability::recordResponse(TimePoint now, bool wasFull)
+void TargetReachability::recordResponse(TimePoint now, bool isFull)
 {
     m_lastResponse = now;
-    m_wasFull = wasFull;
+    m_wasFull = isFull;
     restart();
 }
 
--- a/src/libbergamot/cookie/target_reachability.h
+++ b/src/libbergamot/cookie/target_reachability.h
@@ -23,12 +23,13 @@
 class TargetReachability {
 public:
     /// Records a sign that the target may be unreachable, such as a retransmitted packet.
-    /// @param isFull the requests under way at the target fill its slots.
+    /// @param isFull the requests under way at the target fill its slots; ignored if it has responded within the last
+    /// second.
     void suspect(TimePoint now, bool isFull = false);
 
     /// Records that a client has received something new from the target.
-    /// @param wasFull the requests under way at the target filled its slots before this response.
-    void recordResponse(TimePoint now, bool wasFull = false);
+    /// @param isFull the requests still under way at the target fill its slots.
+    void recordResponse(TimePoint now, bool isFull = false);
 
     /// Forgets everything but the reports of other hosts; the target has been started again.
     void restart();
--- a/src/libbergamot/overload/overload_judgement_test.cpp
+++ b/src/libbergamot/overload/overload_judgement_test.cpp
@@ -14,12 +14,10 @@
     OverloadedHost() { steering.setLinkState(makeLinkState(true)); }
 
     /// Probes a target for 2 s without an answer.
-    void probeInVain(Cookie cookie)
+    void probeWithoutAnswer(Cookie cookie)
     {
-        for (int check = 0; check < 20; ++check) {
+        for (const TimePoint end = clock.now() + Duration(2000); clock.now() < end; clock.advance(Duration(100)))
             probe(cookie, ProbeOutcome::NoAnswer);
-            clock.advance(Duration(100));
-        }
     }
 };
 
@@ -31,7 +29,7 @@
     const Cookie cookie = openAndSendRequest(first);
     const FlowPacket repeated = subsequentPacket(first, cookie, 1001, 100, 500);
     handle(repeated);
-    probeInVain(cookie);
+    probeWithoutAnswer(cookie);
     CHECK(handle(repeated).action == SteeringAction::Forward);
     CHECK(steering.takeResets(idOf(cookie)).empty());
     const schema::TargetLoadReport report = steering.makeReport();
@@ -85,9 +83,9 @@
     const Cookie cookie = openAndSendRequest(first);
     const FlowPacket repeated = subsequentPacket(first, cookie, 1001, 100, 500);
     handle(repeated);
-    probeInVain(cookie);
+    probeWithoutAnswer(cookie);
     steering.setLinkState(makeLinkState(false));
-    probeInVain(cookie);
+    probeWithoutAnswer(cookie);
     CHECK(handle(repeated).action == SteeringAction::Reset);
 }
 
@@ -119,3 +117,20 @@
         CHECK_FALSE(host.steering.makeReport().overloaded());
     }
 }
+
+TEST_CASE_FIXTURE(OverloadedHost, "surge of all: a suspected target is probed at most twice per second")
+{
+    const FlowPacket first = firstPacket(1, lookupPort);
+    const Cookie cookie = openAndSendRequest(first);
+    handle(subsequentPacket(first, cookie, 1001, 100, 500));
+    for (const ProbeOutcome outcome : { ProbeOutcome::NoAnswer, ProbeOutcome::Inconclusive }) {
+        std::size_t probes = 0;
+        for (const TimePoint end = clock.now() + Duration(2000); clock.now() < end; clock.advance(Duration(20))) {
+            for (const ProbeRequest& request : steering.takeProbes(clock.now())) {
+                ++probes;
+                steering.handleProbeOutcome(request.target, outcome, clock.now());
+            }
+        }
+        CHECK(probes <= 4);
+    }
+}
--- a/src/libbergamot/overload/packet_scheduler.cpp
+++ b/src/libbergamot/overload/packet_scheduler.cpp
@@ -17,7 +17,7 @@
     /// Tokens that accumulate, in milliseconds of the paced rate: bulkInterval and the lateness of a timer on a busy
     /// host.
     constexpr Duration burst { 10 };
-    /// Tokens that resets can take in advance; a flood of resets must not stop the packets to targets.
+    /// Tokens that resets can take in advance, so that a burst of resets delays the packets to targets only shortly.
     constexpr Duration maxDebt { 20 };
     /// Minimum time between two sends from the queues by a timer, while an urgent packet waits and otherwise; each
     /// wake-up costs CPU time.
