Put back the bounds of three tests of learned capacity that had been weakened, and list the one that fails

Cause: bounds come from the stated targets. Refusals have to fall by two thirds (the test asked for half), all targets that are well again have to be below 2 within 2 s (one of 14 was excepted), and a slow target has to be found within about a second in each run (the median of six was asked for).

--- a/src/libbergamot/cookie/capacity_learning_test.cpp
+++ b/src/libbergamot/cookie/capacity_learning_test.cpp
@@ -318,11 +318,11 @@
     }
     CHECK(outcomes[false].late > 100);
     CHECK(outcomes[true].late <= outcomes[false].late / 2);
-    CHECK(outcomes[true].refused <= outcomes[false].refused / 2);
+    CHECK(3 * outcomes[true].refused <= outcomes[false].refused);
 }
 
-TEST_CASE(
-    "a target that is slow although its health answers are good is found in 1 s (median) and loses most of its flows")
+TEST_CASE("a target that is slow although its health answers are good is found in 1 s and loses most of its flows"
+    * doctest::test_suite("slow_target_detection"))
 {
     constexpr unsigned runs = 6;
     unsigned found = 0;
@@ -334,7 +334,7 @@
         found += deployment.maxSlowness(0, Duration(1000), quietRate) > slowTarget ? 1 : 0;
         flows += deployment.flowsOf(0, Duration(4000), quietRate);
     }
-    CHECK(2 * found >= runs);
+    CHECK(found == runs);
     CHECK(flows < quietRate * 4 * runs / 40 / 4);
 }
 
@@ -406,8 +406,7 @@
     slow = 0;
     for (int target = 0; target < 14; ++target)
         slow += deployment.slowness(target) > slowTarget ? 1 : 0;
-    // A typical target may seem slow for a moment.
-    CHECK(slow <= 1);
+    CHECK(slow == 0);
 }
 
 TEST_CASE("if targets alternate each second between typical and slow under load, learning still helps")
