Count slow start in the limit until the tolerance of heartbeats is over

A heartbeat that moves the end of slow start by no more than 300 ms is no event, so entry hosts could end the limit up to 300 ms too early. The limit now counts slow start until the known end plus slowStartTolerance, which the registry and the limit share. A record that states no slow start has none: the registry then leaves slowStartUntil empty.

--- a/src/include/bergamotroute/target_registry.h
+++ b/src/include/bergamotroute/target_registry.h
@@ -36,10 +36,15 @@
     Heard,
 };
 
+/// Variation between the delays of two heartbeats, by which the end of slow start that they state may differ. A
+/// heartbeat that moves the end by no more than this is not an event.
+inline constexpr Duration slowStartTolerance { 300 };
+
 struct RegisteredTarget {
     schema::TargetRecord record;
     /// For a silent target that was marked as gone, the time of that.
     TimePoint lastHeartbeat;
+    /// The epoch of the clock if the record states no slow start.
     TimePoint slowStartUntil;
     /// End of slow start at the last event.
     TimePoint announcedSlowStartUntil;
--- a/src/libbergamot/cookie/slow_start_limit.cpp
+++ b/src/libbergamot/cookie/slow_start_limit.cpp
@@ -80,6 +80,9 @@
 TimePoint SlowStartLimit::slowStartEnd(const PooledTarget& target, TimePoint now) const
 {
     TimePoint end = target.slowStartUntil;
+    // A heartbeat that moves the end by less than the tolerance is not passed on.
+    if (end != TimePoint {})
+        end += slowStartTolerance;
     if (const std::optional<TimePoint> returned = m_pool.returnedAt(target.dataCentre))
         end = std::max(end, *returned + m_longestSlowStart + m_options.targetHeartbeat);
     if (m_recoveries.empty() || !isViewStale(now))
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-    /// Variation between the delays of two heartbeats, by which the end of slow start that they state may differ.
-    constexpr Duration slowStartTolerance { 300 };
-
     std::uint32_t millisecondsSince(TimePoint then, TimePoint now)
     {
         return static_cast<std::uint32_t>(std::max<Duration::rep>(0, (now - then).count()));
@@ -62,7 +59,7 @@
     target.record.set_phase(isGone ? schema::TARGET_GONE : record.phase());
     target.lastHeartbeat
         = isNew ? now - Duration(record.age_ms()) : std::max(target.lastHeartbeat, now - Duration(record.age_ms()));
-    target.slowStartUntil = now + Duration(record.cold_left_ms());
+    target.slowStartUntil = record.cold_left_ms() > 0 ? now + Duration(record.cold_left_ms()) : TimePoint {};
     if (isHeartbeat)
         target.lastChange = ++m_lastChange;
     if (!isGone)
