Count a recovery until control hosts must know of a restart

A target that can be reached again was taken for one in slow start only while the view of the control hosts was at least 4 s old. A host that had lost contact more recently placed freely on a target that was started again meanwhile, and advance() forgot the recovery. A recovery now counts until an answer of a control host in contact with a majority arrives more than 1 s later; slowStartEnd() and advance() share the condition.

The former test expected a host whose view was new at the recovery to place freely. That was the fault: the last answer before the recovery cannot tell of a restart. The test now checks views of 0, 1.5 and 4 s, also after advance(), and a second one checks the end of the condition and a host without any contact.

Tested: both tests failed before the change; all 282 tests of the library pass.

--- a/src/libbergamot/cookie/slow_start_limit.cpp
+++ b/src/libbergamot/cookie/slow_start_limit.cpp
@@ -15,6 +15,8 @@
     /// own targets have lists that are at most staleViewAge old, and control hosts exchange lists within one more
     /// second.
     constexpr Duration settlingTime { 5000 };
+    /// Time within which the start of a target reaches all control hosts.
+    constexpr Duration propagationTime { 1000 };
     /// Requests beyond the first that a flow may send within the window of 1.1 s: six per second.
     constexpr std::uint32_t maxFurtherRequests = 6;
     /// A service of which a recurring flow was seen has flows of one request only after this number of them.
@@ -77,7 +79,12 @@
 
 bool SlowStartLimit::isViewStale(TimePoint now) const { return !m_lastContact || now - *m_lastContact >= staleViewAge; }
 
-TimePoint SlowStartLimit::slowStartEnd(const PooledTarget& target, TimePoint now) const
+bool SlowStartLimit::isRecoveryKnown(TimePoint recovery) const
+{
+    return m_lastContact && *m_lastContact > recovery + propagationTime;
+}
+
+TimePoint SlowStartLimit::slowStartEnd(const PooledTarget& target) const
 {
     TimePoint end = target.slowStartUntil;
     // A heartbeat that moves the end by less than the tolerance is not passed on.
@@ -85,16 +92,16 @@
         end += slowStartTolerance;
     if (const std::optional<TimePoint> returned = m_pool.returnedAt(target.dataCentre))
         end = std::max(end, *returned + m_longestSlowStart + m_options.targetHeartbeat);
-    if (m_recoveries.empty() || !isViewStale(now))
-        return end;
     const auto recovery = m_recoveries.find(target.number);
-    return recovery == m_recoveries.end() ? end : std::max(end, recovery->second + m_longestSlowStart);
+    if (recovery == m_recoveries.end() || isRecoveryKnown(recovery->second))
+        return end;
+    return std::max(end, recovery->second + m_longestSlowStart);
 }
 
 bool SlowStartLimit::isLimited(const PooledTarget& target, TimePoint now) const
 {
     // The rule is looked up last, because most targets are not in slow start.
-    return !m_rules.empty() && slowStartEnd(target, now) > now && findRule(target);
+    return !m_rules.empty() && slowStartEnd(target) > now && findRule(target);
 }
 
 bool SlowStartLimit::permits(const PooledTarget& target, TimePoint now)
@@ -189,8 +196,7 @@
 {
     std::erase_if(
         m_windows, [now](const auto& item) { return item.second.firstPackets(now) + item.second.requests(now) == 0; });
-    if (!m_recoveries.empty() && !isViewStale(now))
-        m_recoveries.clear();
+    std::erase_if(m_recoveries, [this](const auto& item) { return isRecoveryKnown(item.second); });
 }
 
 SlowStartStatus SlowStartLimit::status(TimePoint now)
--- a/src/libbergamot/cookie/slow_start_limit.h
+++ b/src/libbergamot/cookie/slow_start_limit.h
@@ -45,8 +45,8 @@
     /// Records a response of a control host that is in contact with a majority.
     void refreshView(TimePoint now);
 
-    /// Records that a target which could not be reached can be reached again: a host without contact to control hosts
-    /// does not learn whether the target has been started again in the meantime.
+    /// Records that a target which could not be reached can be reached again. Until an answer of a control host that is
+    /// later than this by the time for propagation, the target may have been started again.
     void recordRecovery(const PooledTarget& target, TimePoint now);
 
     /// @return true if the target is in slow start and its service has a limit.
@@ -83,7 +83,9 @@
     };
 
     const Rule* findRule(const PooledTarget& target) const;
-    TimePoint slowStartEnd(const PooledTarget& target, TimePoint now) const;
+    /// @return true if control hosts have told whether the target was started again before it could be reached.
+    bool isRecoveryKnown(TimePoint recovery) const;
+    TimePoint slowStartEnd(const PooledTarget& target) const;
     bool isViewStale(TimePoint now) const;
     bool owns(const PooledTarget& target, const Rule& rule, TimePoint now);
     bool isOwnerInList(const PooledTarget& target) const;
--- a/src/libbergamot/cookie/slow_start_limit_test.cpp
+++ b/src/libbergamot/cookie/slow_start_limit_test.cpp
@@ -557,17 +557,46 @@
 }
 
 TEST_CASE_FIXTURE(OwnerFixture, "a host that is cut off takes a target that can be reached again for one in slow start")
+{
+    const PooledTarget& target = add(1, "b");
+    // The view is 0 to 4 s old at the recovery: the target may have been started again since.
+    for (const Duration age : { Duration(0), Duration(1500), Duration(4000) }) {
+        CAPTURE(age.count());
+        settle();
+        limit.advance(clock.now());
+        CHECK_FALSE(limit.isLimited(target, clock.now()));
+        clock.advance(age);
+        limit.recordRecovery(target, clock.now());
+        limit.advance(clock.now());
+        CHECK(limit.isLimited(target, clock.now()));
+        CHECK(limit.permits(target, clock.now()) == (age < Duration(4000)));
+        clock.advance(slowStart - Duration(1));
+        limit.advance(clock.now());
+        CHECK(limit.isLimited(target, clock.now()));
+        clock.advance(Duration(1));
+        CHECK_FALSE(limit.isLimited(target, clock.now()));
+    }
+}
+
+TEST_CASE_FIXTURE(OwnerFixture, "a recovery counts until control hosts must know of a restart")
 {
     const PooledTarget& target = add(1, "b");
     settle();
     limit.recordRecovery(target, clock.now());
-    CHECK_FALSE(limit.isLimited(target, clock.now()));
-    clock.advance(Duration(4000));
-    limit.recordRecovery(target, clock.now());
+    // The heartbeat after the restart may not have reached the control host that answers.
+    advance(Duration(1000));
+    limit.advance(clock.now());
     CHECK(limit.isLimited(target, clock.now()));
-    CHECK_FALSE(limit.permits(target, clock.now()));
-    clock.advance(slowStart);
+    advance(Duration(1));
+    CHECK_FALSE(limit.isLimited(target, clock.now()));
+    limit.advance(clock.now());
     CHECK_FALSE(limit.isLimited(target, clock.now()));
+    // A host that has had no contact yet does not know either.
+    SlowStartLimit unconnected({ "entry-b", 2, 5, heartbeat }, pool);
+    unconnected.setDocument(document);
+    unconnected.recordRecovery(target, clock.now());
+    unconnected.advance(clock.now());
+    CHECK(unconnected.isLimited(target, clock.now()));
 }
 
 TEST_CASE("a repeated first packet to the same target in slow start is the same request, and to another one a new one")
