Forget ownership of targets and flows of services that are gone

The ownership of a target was kept until the list of entry hosts changed, also when the target had left the pool, and the history of flows was kept for services that the document no longer limits. advance() now erases ownerships and recoveries of targets that are not in the pool or not in slow start, so there is nothing to look through while no target is in slow start. setDocument() erases the histories of services without a rate.

--- a/src/libbergamot/cookie/slow_start_limit.cpp
+++ b/src/libbergamot/cookie/slow_start_limit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_set>
 #include <xxhash.h>
 
 namespace bergamotroute {
@@ -37,6 +38,7 @@
 {
     m_rules.clear();
     m_longestSlowStart = Duration(0);
+    std::erase_if(m_flowHistories, [&document](const auto& item) { return !document.slowStarts.contains(item.first); });
     if (m_options.factor <= 0 && m_options.allowance <= 0)
         return;
     for (const auto& [service, slowStart] : document.slowStarts) {
@@ -196,9 +198,24 @@
 {
     std::erase_if(
         m_windows, [now](const auto& item) { return item.second.firstPackets(now) + item.second.requests(now) == 0; });
+    forgetTargets(now);
     std::erase_if(m_recoveries, [this](const auto& item) { return isRecoveryKnown(item.second); });
 }
 
+void SlowStartLimit::forgetTargets(TimePoint now)
+{
+    if (m_ownerships.empty() && m_recoveries.empty())
+        return;
+    std::unordered_set<std::uint64_t> limited;
+    for (const auto& [id, target] : m_pool.all()) {
+        if (isLimited(*target, now))
+            limited.insert(target->number);
+    }
+    const auto isForgotten = [&limited](const auto& item) { return !limited.contains(item.first); };
+    std::erase_if(m_ownerships, isForgotten);
+    std::erase_if(m_recoveries, isForgotten);
+}
+
 SlowStartStatus SlowStartLimit::status(TimePoint now)
 {
     SlowStartStatus status;
--- a/src/libbergamot/cookie/slow_start_limit.h
+++ b/src/libbergamot/cookie/slow_start_limit.h
@@ -62,7 +62,7 @@
     void handleRequest(const FlowState& flow, TimePoint now) override;
     void handleSingleRequestFlow(const FlowState& flow) override;
 
-    /// Forgets the counts of targets that are no longer in slow start.
+    /// Forgets counts and ownership of targets that are no longer in slow start.
     void advance(TimePoint now);
 
     SlowStartStatus status(TimePoint now);
@@ -82,6 +82,8 @@
         std::uint32_t singleRequestFlows = 0;
     };
 
+    /// Forgets ownerships and recoveries of targets that are no longer in the pool or in slow start.
+    void forgetTargets(TimePoint now);
     const Rule* findRule(const PooledTarget& target) const;
     /// @return true if control hosts have told whether the target was started again before it could be reached.
     bool isRecoveryKnown(TimePoint recovery) const;
--- a/src/libbergamot/cookie/slow_start_limit_test.cpp
+++ b/src/libbergamot/cookie/slow_start_limit_test.cpp
@@ -599,6 +599,33 @@
     CHECK(unconnected.isLimited(target, clock.now()));
 }
 
+TEST_CASE_FIXTURE(OwnerFixture, "a target that comes back in another data centre has no owner by its former one")
+{
+    add(1, "b", clock.now() + Duration(60'000));
+    settle();
+    REQUIRE(limit.permits(*pool.all().at("i-1"), clock.now()));
+    RegisteredTarget gone = makeTarget(1, "b", {});
+    gone.record.set_phase(schema::TARGET_GONE);
+    pool.update(gone, clock.now());
+    pool.purgeGone(Duration(0), clock.now());
+    limit.advance(clock.now());
+    CHECK_FALSE(limit.permits(add(1, "a", clock.now() + Duration(60'000)), clock.now()));
+}
+
+TEST_CASE_FIXTURE(OwnerFixture, "the flows of a service that was gone do not count when it comes back")
+{
+    const PooledTarget& target = add(1, "b", clock.now() + Duration(60'000));
+    settle();
+    RoutingDocument other = document;
+    other.slowStarts.clear();
+    limit.setDocument(other);
+    limit.setDocument(document);
+    // The flows may be recurring now, so that a second one does not fit into twelve requests.
+    REQUIRE(limit.permits(target, clock.now()));
+    limit.recordFirstPacket(target, nullptr, clock.now());
+    CHECK_FALSE(limit.permits(target, clock.now()));
+}
+
 TEST_CASE("a repeated first packet to the same target in slow start is the same request, and to another one a new one")
 {
     Deployment deployment({ 0, 0, 2 }, 1, 2);
