Refuse a repeated first packet only if all copies before came here

A flow that was dropped after its wait was remembered as refused, so the second retransmission was answered with a reset although another host may have forwarded the first one. With waits of 600 ms or more, a waiting flow that had skipped a copy was reset as well. Admission now keeps the number of the latest copy: it refuses a retransmission only if it has refused or dropped the flow and no copy is missing, and drops a waiting flow without a reset if a copy is missing.

Tested: the new test fails before the change (4 checks); libbergamot_test passes, 280 cases.

--- a/src/libbergamot/admission/admission_queue.h
+++ b/src/libbergamot/admission/admission_queue.h
@@ -31,6 +31,10 @@
     /// The flow is refused if it has not been admitted by this time.
     TimePoint waitEnd;
     std::uint64_t turn = 0;
+    /// Number of the latest copy of the first packet; the original is 0.
+    std::uint32_t lastCopy = 0;
+    /// A copy before the latest one has not come here, so another host may have forwarded it.
+    bool hasSkippedCopy = false;
 };
 
 class AdmissionQueue {
--- a/src/libbergamot/admission/flow_admission.cpp
+++ b/src/libbergamot/admission/flow_admission.cpp
@@ -14,8 +14,9 @@
     /// For routes without a latency objective.
     constexpr Duration defaultObjective { 1000 };
     constexpr std::size_t maxWaitingFlows = 256;
-    /// Clients repeat a first packet after this time, and give up after the second one.
+    /// Clients repeat a first packet after these times since the original, and give up after its lifetime.
     constexpr Duration firstRetransmission { 200 };
+    constexpr Duration secondRetransmission { 600 };
     constexpr Duration firstPacketLifetime { 1400 };
     constexpr std::size_t maxRememberedRefusals = 1024;
     /// While small flows of a priority are refused, one of this number is admitted, so that no priority gets nothing.
@@ -28,6 +29,14 @@
         return route.latencyObjective.count() > 0 ? route.latencyObjective : defaultObjective;
     }
 
+    /// @return number of the copy of a first packet that the client has sent last.
+    std::uint32_t copyAfter(Duration time)
+    {
+        if (time >= secondRetransmission)
+            return 2;
+        return time >= firstRetransmission ? 1 : 0;
+    }
+
     Duration waitOf(const Route& route) { return std::min(maxWait, objectiveOf(route) / waitDivisor); }
 
 }
@@ -70,16 +79,33 @@
     return FlowVerdict::Admit;
 }
 
-FlowVerdict FlowAdmission::refuse(const FlowId& flow, const std::string& route, FlowVerdict verdict, TimePoint now)
+FlowVerdict FlowAdmission::refuse(
+    const FlowPacket& packet, const std::string& route, FlowVerdict verdict, TimePoint now)
+{
+    rememberRefusal(packet.flow, packet.acknowledgement, now);
+    countRefusal(route, verdict);
+    return verdict;
+}
+
+void FlowAdmission::rememberRefusal(const FlowId& flow, std::uint32_t lastCopy, TimePoint now)
+{
+    if (m_refused.size() < maxRememberedRefusals || m_refused.contains(flow))
+        m_refused[flow] = { now + firstPacketLifetime, lastCopy };
+}
+
+bool FlowAdmission::hasRefusedAllBefore(const FlowPacket& packet) const
+{
+    const auto refused = m_refused.find(packet.flow);
+    return refused != m_refused.end() && packet.acknowledgement <= refused->second.lastCopy + 1;
+}
+
+void FlowAdmission::countRefusal(const std::string& route, FlowVerdict verdict)
 {
-    if (m_refused.size() < maxRememberedRefusals)
-        m_refused[flow] = now + firstPacketLifetime;
     const bool isLabelled = m_refusals.contains(route) || m_refusals.size() < maxRouteLabels;
     const std::string label = isLabelled ? route : otherRoutes;
     FlowRefusals& refusals = m_refusals[label];
     refusals.route = label;
     ++(verdict == FlowVerdict::RefuseNoRoom ? refusals.noRoom : refusals.waitedTooLong);
-    return verdict;
 }
 
 bool FlowAdmission::admitsSmall(const Route& route)
@@ -117,19 +143,21 @@
 {
     const std::shared_ptr<RouteDemand> demand = demandOf(route);
     if (WaitingFlow* waiting = m_queue.find(packet.flow)) {
+        waiting->hasSkippedCopy |= packet.acknowledgement > waiting->lastCopy + 1;
+        waiting->lastCopy = std::max(waiting->lastCopy, packet.acknowledgement);
         waiting->packet = packet;
         return FlowVerdict::Wait;
     }
     if (m_flows.isOpening(packet.flow, now))
         return FlowVerdict::Admit;
-    // Another host may have forwarded the original of a retransmission that is unknown here.
+    // Another host may have forwarded a copy of the first packet that has not come here.
     const bool isRetransmission = packet.acknowledgement > 0;
-    if (isRetransmission && !m_refused.contains(packet.flow))
+    if (isRetransmission && !hasRefusedAllBefore(packet))
         return admit(packet.flow, demand, now);
     if (!demand->isBulk()) {
         if (admitsSmall(route))
             return admit(packet.flow, demand, now);
-        return refuse(packet.flow, route.name, FlowVerdict::RefuseNoRoom, now);
+        return refuse(packet, route.name, FlowVerdict::RefuseNoRoom, now);
     }
     m_flows.expireClaims(now);
     if (m_queue.isEmpty() && hasRoomFor(*demand))
@@ -137,7 +165,7 @@
     WaitingFlow flow { packet, demand, route.name, route.priority, now, now + objectiveOf(route), now + waitOf(route) };
     // A flow that has been refused does not wait again.
     if (isRetransmission || isHopeless(flow, now))
-        return refuse(packet.flow, route.name, FlowVerdict::RefuseNoRoom, now);
+        return refuse(packet, route.name, FlowVerdict::RefuseNoRoom, now);
     ++m_waited;
     m_queue.add(std::move(flow));
     return FlowVerdict::Wait;
@@ -153,9 +181,13 @@
     // Room that is too small for the next flow in the queue may suffice for this one.
     if (hasRoomFor(*flow.route))
         return admit(flow.packet.flow, flow.route, now);
-    const bool isRetransmissionMissing = flow.packet.acknowledgement == 0 && now - flow.arrival >= firstRetransmission;
-    return refuse(flow.packet.flow, flow.routeName,
-        isRetransmissionMissing ? FlowVerdict::DropWaitedTooLong : FlowVerdict::RefuseWaitedTooLong, now);
+    const bool isCopyMissing = flow.hasSkippedCopy || flow.lastCopy < copyAfter(now - flow.arrival);
+    const FlowVerdict verdict = isCopyMissing ? FlowVerdict::DropWaitedTooLong : FlowVerdict::RefuseWaitedTooLong;
+    // A flow that has skipped a copy may be open through another host, so none of its further copies is refused.
+    if (!flow.hasSkippedCopy)
+        rememberRefusal(flow.packet.flow, flow.lastCopy, now);
+    countRefusal(flow.routeName, verdict);
+    return verdict;
 }
 
 std::vector<AdmissionRelease> FlowAdmission::takeReleases(TimePoint now)
@@ -196,7 +228,7 @@
 {
     m_flows.expireClaims(now);
     m_flows.expireFlows(now);
-    std::erase_if(m_refused, [now](const auto& item) { return now >= item.second; });
+    std::erase_if(m_refused, [now](const auto& item) { return now >= item.second.expiry; });
 }
 
 AdmissionMetrics FlowAdmission::metrics() const
--- a/src/libbergamot/admission/flow_admission.h
+++ b/src/libbergamot/admission/flow_admission.h
@@ -32,7 +32,7 @@
     RefuseNoRoom,
     /// Refused after its wait.
     RefuseWaitedTooLong,
-    /// Dropped without an answer after its wait: the expected retransmission of its first packet has not come, so
+    /// Dropped without an answer after its wait: an expected retransmission of its first packet has not come, so
     /// another host may have received and forwarded it.
     DropWaitedTooLong,
 };
@@ -82,9 +82,20 @@
 private:
     using RouteKey = std::pair<std::uint32_t, std::uint16_t>;
 
+    struct Refusal {
+        /// Time until which the first packet may be repeated.
+        TimePoint expiry;
+        /// Number of the latest copy of the first packet.
+        std::uint32_t lastCopy = 0;
+    };
+
     std::shared_ptr<RouteDemand> demandOf(const Route& route);
     FlowVerdict admit(const FlowId& flow, const std::shared_ptr<RouteDemand>& demand, TimePoint now);
-    FlowVerdict refuse(const FlowId& flow, const std::string& route, FlowVerdict verdict, TimePoint now);
+    FlowVerdict refuse(const FlowPacket& packet, const std::string& route, FlowVerdict verdict, TimePoint now);
+    void countRefusal(const std::string& route, FlowVerdict verdict);
+    void rememberRefusal(const FlowId& flow, std::uint32_t lastCopy, TimePoint now);
+    /// @return true if this host has received all copies of the first packet up to this one and has forwarded none.
+    bool hasRefusedAllBefore(const FlowPacket& packet) const;
     FlowVerdict endWait(const WaitingFlow& flow, TimePoint now);
     bool admitsSmall(const Route& route);
     bool hasRoomFor(const RouteDemand& demand) const;
@@ -93,8 +104,8 @@
     BulkFlows m_flows;
     AdmissionQueue m_queue;
     std::map<RouteKey, std::shared_ptr<RouteDemand>> m_demands;
-    /// Flows that this host has refused, by the time until which their first packet may be repeated.
-    std::unordered_map<FlowId, TimePoint, FlowIdHash> m_refused;
+    /// Flows that this host has refused or dropped after it has received each copy up to the last one.
+    std::unordered_map<FlowId, Refusal, FlowIdHash> m_refused;
     /// By route, of which a bounded number is told apart.
     std::map<std::string, FlowRefusals> m_refusals;
     double m_roomBytes = 0;
--- a/src/libbergamot/admission/flow_admission_test.cpp
+++ b/src/libbergamot/admission/flow_admission_test.cpp
@@ -115,6 +115,17 @@
         });
     }
 
+    /// Lets time pass in which the open uploads keep their claims and nothing is released.
+    void holdRoom(Duration time)
+    {
+        constexpr Duration step { 100 };
+        for (const TimePoint end = clock.now() + time; clock.now() < end;) {
+            clock.advance(step);
+            for (const auto& [flow, upload] : uploads)
+                handle(subsequentPacket(upload.first, upload.cookie, 1001, dataPerPacket, 500));
+        }
+    }
+
     /// Two seconds after a surge, uploads are admitted and answered within their objective.
     void checkRecovery()
     {
@@ -328,6 +339,35 @@
     CHECK(handle(firstPacket(900, uploadPort, 1)).action == SteeringAction::Reset);
 }
 
+TEST_CASE_FIXTURE(Uploads, "bulk surge: no flow is reset after a copy of its first packet has gone to another host")
+{
+    RoutingDocument document = makeDocument(2);
+    document.routes.push_back(makeRoute(82, RequestKind::Upload, 1, Duration(4000)));
+    steering.installDocument(document);
+    for (int upload = 0; upload < 3; ++upload)
+        start();
+    for (std::uint16_t port = 900; port < 903; ++port)
+        CHECK(handle(firstPacket(port, 82)).action == SteeringAction::Wait);
+    handle(firstPacket(910, uploadPort));
+    holdRoom(Duration(200));
+    handle(firstPacket(900, 82, 1));
+    handle(firstPacket(901, 82, 1));
+    holdRoom(Duration(100));
+    REQUIRE(steering.takeReleases(clock.now()).size() == 1);
+    holdRoom(Duration(300));
+    handle(firstPacket(900, 82, 2));
+    handle(firstPacket(902, 82, 2));
+    // Copy 1 of the dropped flow may have been forwarded by another host.
+    CHECK(handle(firstPacket(910, uploadPort, 2)).action == SteeringAction::Forward);
+    holdRoom(Duration(400));
+    const std::vector<FlowRelease> releases = steering.takeReleases(clock.now());
+    REQUIRE(releases.size() == 3);
+    CHECK(releases[0].decision.action == SteeringAction::Reset);
+    CHECK(releases[1].decision.action == SteeringAction::Drop);
+    CHECK(releases[2].decision.action == SteeringAction::Drop);
+    CHECK(handle(firstPacket(902, 82, 2)).action == SteeringAction::Forward);
+}
+
 TEST_CASE_FIXTURE(Uploads, "bulk surge: routes of one priority share the room, whatever their objectives")
 {
     RoutingDocument document = makeDocument(2);
