End the claim of a flow that is reset

Admission takes the claim of room before placement. When placement refused the flow, or the flow was reset because its target was gone or unreachable, the claim stayed for up to 500 ms. Such flows are now forgotten at the reset. Their claims do not count in the rate at which flows end.

--- a/src/libbergamot/admission/bulk_flows.cpp
+++ b/src/libbergamot/admission/bulk_flows.cpp
@@ -92,6 +92,11 @@
         return;
     updateMean(m_meanClaimMs, static_cast<double>((now - flow.claimedSince).count()), m_meanClaimMs == 0);
     m_ended.count(now);
+    dropClaim(id, flow);
+}
+
+void BulkFlows::dropClaim(const FlowId& id, Flow& flow)
+{
     m_claimedBytes -= flow.claim;
     flow.claim = 0;
     m_claims.erase(id);
@@ -179,6 +184,15 @@
     m_flows.erase(found);
 }
 
+void BulkFlows::forget(const FlowId& id)
+{
+    const auto found = m_flows.find(id);
+    if (found == m_flows.end())
+        return;
+    dropClaim(id, found->second);
+    m_flows.erase(found);
+}
+
 void BulkFlows::expireClaims(TimePoint now)
 {
     if (now < m_nextExpiry)
--- a/src/libbergamot/admission/bulk_flows.h
+++ b/src/libbergamot/admission/bulk_flows.h
@@ -72,6 +72,10 @@
     /// Updates a flow from a later packet; one that was opened through another host counts from then on.
     void observe(const FlowPacket& packet, const std::shared_ptr<RouteDemand>& route, TimePoint now);
 
+    /// Removes a flow that this host resets. Its claim does not count as one that ends, because its duration says
+    /// nothing about how long a request takes.
+    void forget(const FlowId& flow);
+
     /// Ends the claims of flows that have been quiet.
     void expireClaims(TimePoint now);
 
@@ -113,6 +117,7 @@
     void countData(const FlowId& id, Flow& flow, const FlowPacket& packet, TimePoint now);
     void claim(const FlowId& id, Flow& flow, TimePoint now);
     void release(const FlowId& id, Flow& flow, TimePoint now);
+    void dropClaim(const FlowId& id, Flow& flow);
 
     std::size_t m_capacity;
     FlowMap m_flows;
--- a/src/libbergamot/admission/flow_admission.h
+++ b/src/libbergamot/admission/flow_admission.h
@@ -65,6 +65,9 @@
     /// Counts a later packet of a flow.
     void observe(const FlowPacket& packet, const Route& route, TimePoint now);
 
+    /// Ends the claim of a flow that is reset.
+    void forget(const FlowId& flow) { m_flows.forget(flow); }
+
     /// @return waiting flows that are admitted now, or refused because their wait has ended.
     std::vector<AdmissionRelease> takeReleases(TimePoint now);
 
--- a/src/libbergamot/admission/flow_admission_test.cpp
+++ b/src/libbergamot/admission/flow_admission_test.cpp
@@ -115,6 +115,16 @@
         });
     }
 
+    /// Lets a client send a lookup of 6,000 bytes, after which lookups need room.
+    void teachLargeLookups()
+    {
+        const FlowPacket first = firstPacket(1, lookupPort);
+        const Cookie cookie = handle(first).cookie;
+        for (std::uint32_t sequence = 1001; sequence < 1001 + 6000; sequence += dataPerPacket)
+            handle(subsequentPacket(first, cookie, sequence, dataPerPacket, 500));
+        handle(subsequentPacket(first, cookie, 7001, 0, 600));
+    }
+
     /// Lets time pass in which the open uploads keep their claims and nothing is released.
     void holdRoom(Duration time)
     {
@@ -413,3 +423,39 @@
     CHECK(steering.admissionMetrics().bulkFlows == 1);
     CHECK(steering.admissionMetrics().claimedBytes == 6000);
 }
+
+TEST_CASE_FIXTURE(Uploads, "unresponsive targets in a surge: flows that are reset do not keep the room")
+{
+    const FlowPacket first = firstPacket(1, uploadPort);
+    const Cookie cookie = handle(first).cookie;
+    handle(subsequentPacket(first, cookie, 1001, dataPerPacket, 500));
+    REQUIRE(steering.admissionMetrics().bulkFlows == 1);
+    for (const char* id : { "i-11", "i-12", "i-13" })
+        steering.updateTarget(makeTarget(id, schema::TARGET_GONE), clock.now());
+    clock.advance(Duration(300));
+    CHECK(handle(subsequentPacket(first, cookie, 2201, dataPerPacket, 500)).action == SteeringAction::Reset);
+    CHECK(steering.admissionMetrics().bulkFlows == 0);
+    // No target is left, so placement refuses the flow after admission.
+    CHECK(handle(firstPacket(2, uploadPort)).action == SteeringAction::Reset);
+    CHECK(steering.admissionMetrics().bulkFlows == 0);
+}
+
+TEST_CASE_FIXTURE(Uploads, "unresponsive targets in a surge: flows of an unreachable target do not keep the room")
+{
+    teachLargeLookups();
+    std::vector<FlowPacket> flows;
+    for (std::uint16_t port = 11; port < 17; ++port) {
+        flows.push_back(firstPacket(port, lookupPort));
+        const Cookie cookie = handle(flows.back()).cookie;
+        handle(subsequentPacket(flows.back(), cookie, 1001, 0, 500));
+        handle(subsequentPacket(flows.back(), cookie, 1001, dataPerPacket, 500));
+    }
+    const Cookie cookie = openAndSendRequest(firstPacket(20, lookupPort));
+    const std::size_t before = steering.admissionMetrics().bulkFlows;
+    clock.advance(Duration(200));
+    handle(subsequentPacket(firstPacket(20, lookupPort), cookie, 1001, 100, 500));
+    REQUIRE(probe(cookie, ProbeOutcome::Refused));
+    const std::size_t resets = steering.takeResets(idOf(cookie)).size();
+    REQUIRE(resets > 1);
+    CHECK(steering.admissionMetrics().bulkFlows + resets == before);
+}
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -57,6 +57,8 @@
 
     SteeringDecision handleSubsequentPacket(const FlowPacket& packet, TimePoint now);
     SteeringDecision refuseUnreachable(const FlowPacket& packet, const PooledTarget& target);
+    /// Places a flow that has been admitted.
+    SteeringDecision place(const FlowPacket& packet, TimePoint now);
     bool isIdempotent(const FlowId& flow) const;
     bool controlsOverload() const { return options.linkBytesPerSecond > 0 && hasUploads; }
     /// @return true if this host's own observations of targets are not reliable.
@@ -97,13 +99,21 @@
     learning.samples().setOverloaded(linkState.isOverloaded);
 }
 
+SteeringDecision CookieSteering::Implementation::place(const FlowPacket& packet, TimePoint now)
+{
+    SteeringDecision decision = firstPackets.handle(packet, now);
+    if (decision.action == SteeringAction::Reset)
+        admission.forget(packet.flow);
+    return decision;
+}
+
 SteeringDecision CookieSteering::Implementation::decide(
     const FlowPacket& packet, std::string_view route, FlowVerdict verdict, TimePoint now)
 {
     SteeringDecision decision;
     switch (verdict) {
     case FlowVerdict::Admit:
-        return firstPackets.handle(packet, now);
+        return place(packet, now);
     case FlowVerdict::Wait:
         decision.action = SteeringAction::Wait;
         decision.code = ResultCode::FlowWaiting;
@@ -129,13 +139,14 @@
         = controlsOverload() ? routes.find(packet.flow.serviceAddress, packet.flow.servicePort) : nullptr;
     // The first packet of an opening flow has been forwarded, so the flow is not refused.
     if (!route || flows.isOpening(packet.flow))
-        return firstPackets.handle(packet, now);
+        return place(packet, now);
     return decide(packet, route->name, admission.decide(packet, *route, now), now);
 }
 
 SteeringDecision CookieSteering::Implementation::refuseUnreachable(const FlowPacket& packet, const PooledTarget& target)
 {
     ++counters.targetUnreachable;
+    admission.forget(packet.flow);
     SteeringDecision decision = refuse(packet, ResultCode::FlowTargetUnreachable);
     decision.target = target.id;
     decision.service = target.service;
@@ -174,6 +185,7 @@
         ++counters.targetGone;
         if (packet.rst)
             return {};
+        admission.forget(packet.flow);
         SteeringDecision decision = refuse(packet, ResultCode::FlowTargetGone);
         decision.target = target->id;
         decision.service = target->service;
