Do not learn data that a flow has sent through another host

A flow that the fabric moves away and back skips data. All of it counted as one request, so a route with small requests became bulk. A gap of more than a window, or any gap after a quiet time, now restarts the count of the request, and the rest of that request is not learned. When admission is no longer in force, all flows and their claims are forgotten, because their packets are not observed any more.

--- a/src/libbergamot/admission/bulk_flows.cpp
+++ b/src/libbergamot/admission/bulk_flows.cpp
@@ -8,6 +8,7 @@
 
     /// Packets that a client sends without an acknowledgement.
     constexpr std::uint32_t windowPackets = 16;
+    constexpr std::uint32_t windowBytes = windowPackets * packetBytes;
     /// Requests of up to this mean size need no admission.
     constexpr std::uint32_t smallRequestPackets = 2;
     /// Weight of the newest value in learned means.
@@ -41,7 +42,6 @@
 
 std::uint32_t RouteDemand::claimBytes() const
 {
-    constexpr std::uint32_t windowBytes = windowPackets * packetBytes;
     if (!m_hasRequests)
         return windowBytes;
     return std::clamp(static_cast<std::uint32_t>(m_meanBytes), packetBytes, windowBytes);
@@ -150,6 +150,21 @@
         claim(id, flow, now);
 }
 
+void BulkFlows::skipUnseenData(Flow& flow, const FlowPacket& packet, bool wasQuiet, TimePoint now)
+{
+    if (!isAfter(packet.sequence, flow.nextSequence))
+        return;
+    // A client sends at most one window ahead, and repeats what was lost before it is quiet. The data in between has
+    // come through another host and may be several requests.
+    if (!wasQuiet && packet.sequence - flow.nextSequence <= windowBytes)
+        return;
+    flow.requestBytes = 0;
+    flow.sawBeginning = false;
+    flow.nextSequence = packet.sequence;
+    // The next data belongs to the same request.
+    flow.lastData = now;
+}
+
 void BulkFlows::observe(const FlowPacket& packet, const std::shared_ptr<RouteDemand>& route, TimePoint now)
 {
     auto found = m_flows.find(packet.flow);
@@ -176,6 +191,7 @@
         endRequest(flow);
         release(packet.flow, flow, now);
     }
+    skipUnseenData(flow, packet, wasQuiet, now);
     countData(packet.flow, flow, packet, now);
     if (!packet.fin && !packet.rst)
         return;
@@ -210,6 +226,14 @@
         release(id, m_flows.at(id), now);
 }
 
+void BulkFlows::clear()
+{
+    m_flows.clear();
+    m_claims.clear();
+    m_claimedBytes = 0;
+    m_nextExpiry = noDeadline;
+}
+
 void BulkFlows::expireFlows(TimePoint now)
 {
     std::erase_if(m_flows, [now](const FlowMap::value_type& item) {
--- a/src/libbergamot/admission/bulk_flows.h
+++ b/src/libbergamot/admission/bulk_flows.h
@@ -79,6 +79,9 @@
     /// Ends the claims of flows that have been quiet.
     void expireClaims(TimePoint now);
 
+    /// Forgets all flows and their claims, but not what has been learned.
+    void clear();
+
     /// Forgets flows that have been idle for long.
     void expireFlows(TimePoint now);
 
@@ -113,6 +116,7 @@
 
     TimePoint quietAt(const Flow& flow) const;
     static void endRequest(Flow& flow);
+    static void skipUnseenData(Flow& flow, const FlowPacket& packet, bool wasQuiet, TimePoint now);
     FlowMap::iterator add(const FlowId& id, const std::shared_ptr<RouteDemand>& route, TimePoint now);
     void countData(const FlowId& id, Flow& flow, const FlowPacket& packet, TimePoint now);
     void claim(const FlowId& id, Flow& flow, TimePoint now);
--- a/src/libbergamot/admission/flow_admission.cpp
+++ b/src/libbergamot/admission/flow_admission.cpp
@@ -214,6 +214,9 @@
     std::vector<AdmissionRelease> releases;
     for (const WaitingFlow& flow : m_queue.takeAll())
         releases.push_back({ flow.packet, flow.routeName, admit(flow.packet.flow, flow.route, now) });
+    // Further packets are not observed, so the claims would not end with their requests.
+    m_flows.clear();
+    m_refused.clear();
     return releases;
 }
 
--- a/src/libbergamot/admission/flow_admission.h
+++ b/src/libbergamot/admission/flow_admission.h
@@ -71,7 +71,7 @@
     /// @return waiting flows that are admitted now, or refused because their wait has ended.
     std::vector<AdmissionRelease> takeReleases(TimePoint now);
 
-    /// Admits all waiting flows, because admission is no longer in force.
+    /// Admits all waiting flows and forgets all flows, because admission is no longer in force.
     std::vector<AdmissionRelease> releaseAll(TimePoint now);
 
     /// @return the time at which takeReleases() is due at the latest, or nothing if no flow waits.
--- a/src/libbergamot/admission/flow_admission_test.cpp
+++ b/src/libbergamot/admission/flow_admission_test.cpp
@@ -459,3 +459,34 @@
     REQUIRE(resets > 1);
     CHECK(steering.admissionMetrics().bulkFlows + resets == before);
 }
+
+TEST_CASE_FIXTURE(
+    Uploads, "half of the hosts lost in a surge: requests sent through another host are not one large one")
+{
+    for (const bool wasQuiet : { false, true }) {
+        const FlowPacket first = firstPacket(wasQuiet ? 2 : 1, lookupPort);
+        const Cookie cookie = handle(first).cookie;
+        handle(subsequentPacket(first, cookie, 1001, 500, 500));
+        clock.advance(wasQuiet ? Duration(600) : Duration(100));
+        const std::uint32_t gap = wasQuiet ? 15'000 : 20'000;
+        // The rest of a request whose beginning went through the other host says nothing about the size of requests.
+        std::uint32_t sequence = 1501 + gap;
+        for (int packet = 0; packet < 20; ++packet, sequence += dataPerPacket)
+            handle(subsequentPacket(first, cookie, sequence, dataPerPacket, 900));
+        handle(subsequentPacket(first, cookie, sequence, 0, 1300));
+        handle(firstPacket(wasQuiet ? 4 : 3, lookupPort));
+        CHECK(steering.admissionMetrics().bulkFlows == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(Uploads, "flows from before a pause of admission do not keep the room after it")
+{
+    start(uploadPort, clientAddress, false);
+    RoutingDocument document = makeDocument(2);
+    for (Route& route : document.routes)
+        route.kind = RequestKind::Idempotent;
+    steering.installDocument(std::move(document));
+    steering.takeReleases(clock.now());
+    steering.installDocument(makeDocument(3));
+    CHECK(steering.admissionMetrics().bulkFlows == 0);
+}
