Keep ended and unanswered flows out of the table of flows

The last acknowledgements of an ended flow created a new entry for 30 s, as did a first packet without an answer, so the table could fill up and open flows were not counted. An unknown flow now gets an entry only from a packet with data, and a flow that is not established is forgotten after 2 s.

Tested: the new test fails before the change (2 checks); libbergamot_test passes, 285 cases.

--- a/src/libbergamot/admission/bulk_flows.cpp
+++ b/src/libbergamot/admission/bulk_flows.cpp
@@ -25,6 +25,8 @@
     constexpr Duration openingTimeout { 1000 };
     /// Later requests of a flow that is not forgotten are learned in full.
     constexpr Duration idleTimeout { 30'000 };
+    /// Clients give up a flow after 1.4 s if its first packet is not answered.
+    constexpr Duration unestablishedTimeout { 2000 };
 
     bool isAfter(std::uint32_t left, std::uint32_t right) { return static_cast<std::int32_t>(left - right) > 0; }
 
@@ -169,7 +171,8 @@
 {
     auto found = m_flows.find(packet.flow);
     if (found == m_flows.end()) {
-        if (packet.fin || packet.rst)
+        // Without data, the flow has no claim, and its last acknowledgements may come after its end.
+        if (packet.fin || packet.rst || packet.payloadBytes == 0)
             return;
         found = add(packet.flow, route, now);
         if (found == m_flows.end())
@@ -237,7 +240,9 @@
 void BulkFlows::expireFlows(TimePoint now)
 {
     std::erase_if(m_flows, [now](const FlowMap::value_type& item) {
-        return item.second.claim == 0 && now - item.second.lastSeen >= idleTimeout;
+        const Flow& flow = item.second;
+        const Duration timeout = flow.isEstablished ? idleTimeout : unestablishedTimeout;
+        return flow.claim == 0 && now - flow.lastSeen >= timeout;
     });
 }
 
--- a/src/libbergamot/admission/flow_admission_test.cpp
+++ b/src/libbergamot/admission/flow_admission_test.cpp
@@ -2,6 +2,7 @@
 /// Guards against a link that fills up with large requests until nothing is answered in time, and against admission
 /// that refuses flows without need, after it has forwarded a packet, or always the same ones.
 
+#include "admission/bulk_flows.h"
 #include "overload/steering_fixture.h"
 
 #include <algorithm>
@@ -490,3 +491,20 @@
     steering.installDocument(makeDocument(3));
     CHECK(steering.admissionMetrics().bulkFlows == 0);
 }
+
+TEST_CASE("half of the hosts lost in a surge: packets of ended or silent flows do not fill the table of flows")
+{
+    BulkFlows flows(1);
+    const auto route = std::make_shared<RouteDemand>(RequestKind::Upload);
+    const TimePoint begin {};
+    const FlowPacket unknown = firstPacket(1, uploadPort);
+    flows.observe(subsequentPacket(unknown, 0x11, 9000, 0, 500), route, begin);
+    flows.open(firstPacket(2, uploadPort).flow, route, begin);
+    CHECK(flows.claimCount() == 1);
+    // A flow that its target does not answer leaves the table after 2 s, not after 30 s.
+    const TimePoint later = begin + Duration(2000);
+    flows.expireClaims(later);
+    flows.expireFlows(later);
+    flows.open(firstPacket(3, uploadPort).flow, route, later);
+    CHECK(flows.claimCount() == 1);
+}
