Remove a waiting flow that is open through another host

When the fabric moves a flow that waits here and the other host opens it, the flow kept its place in the queue and was reset when its wait ended, although it was open. A later packet of a waiting flow now removes it from the queue, and its first packet is dropped at the next release. A set of the waiting flows makes this test O(1) for each packet.

--- a/src/libbergamot/admission/admission_queue.cpp
+++ b/src/libbergamot/admission/admission_queue.cpp
@@ -19,10 +19,18 @@
 
 }
 
-WaitingFlow* AdmissionQueue::find(const FlowId& flow)
+std::vector<WaitingFlow>::iterator AdmissionQueue::locate(const FlowId& flow)
 {
-    const auto found = std::find_if(
+    // This is asked for each packet, and most flows do not wait.
+    if (!m_ids.contains(flow))
+        return m_flows.end();
+    return std::find_if(
         m_flows.begin(), m_flows.end(), [&flow](const WaitingFlow& waiting) { return waiting.packet.flow == flow; });
+}
+
+WaitingFlow* AdmissionQueue::find(const FlowId& flow)
+{
+    const auto found = locate(flow);
     return found == m_flows.end() ? nullptr : &*found;
 }
 
@@ -82,6 +90,7 @@
 {
     flow.turn = clientTurn(flow);
     m_clientTurns[{ flow.priority, flow.packet.flow.clientAddress }] = flow.turn + 1;
+    m_ids.insert(flow.packet.flow);
     m_flows.push_back(std::move(flow));
 }
 
@@ -118,6 +127,7 @@
     const std::size_t index = nextIndex();
     WaitingFlow flow = std::move(m_flows[index]);
     m_flows.erase(m_flows.begin() + static_cast<std::ptrdiff_t>(index));
+    m_ids.erase(flow.packet.flow);
     const auto hasPriorityWhere
         = [this](const auto& matches) { return std::any_of(m_flows.begin(), m_flows.end(), matches); };
     const bool passesOver
@@ -138,6 +148,24 @@
     return flow;
 }
 
+void AdmissionQueue::returnTurn(const WaitingFlow& flow)
+{
+    --m_clientTurns[{ flow.priority, flow.packet.flow.clientAddress }];
+}
+
+std::optional<WaitingFlow> AdmissionQueue::take(const FlowId& id)
+{
+    const auto found = locate(id);
+    if (found == m_flows.end())
+        return std::nullopt;
+    WaitingFlow flow = std::move(*found);
+    m_flows.erase(found);
+    m_ids.erase(id);
+    returnTurn(flow);
+    forgetTurnsIfEmpty();
+    return flow;
+}
+
 std::vector<WaitingFlow> AdmissionQueue::takeOverdue(TimePoint now)
 {
     std::vector<WaitingFlow> overdue;
@@ -147,7 +175,8 @@
             continue;
         }
         // A turn that was not served is given back.
-        --m_clientTurns[{ flow->priority, flow->packet.flow.clientAddress }];
+        returnTurn(*flow);
+        m_ids.erase(flow->packet.flow);
         overdue.push_back(std::move(*flow));
         flow = m_flows.erase(flow);
     }
@@ -158,6 +187,7 @@
 std::vector<WaitingFlow> AdmissionQueue::takeAll()
 {
     std::vector<WaitingFlow> flows = std::exchange(m_flows, {});
+    m_ids.clear();
     forgetTurnsIfEmpty();
     return flows;
 }
--- a/src/libbergamot/admission/admission_queue.h
+++ b/src/libbergamot/admission/admission_queue.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -57,6 +58,10 @@
     /// Removes the flow that next() returns, because it is admitted.
     WaitingFlow takeNext();
 
+    /// Removes a flow that is not admitted.
+    /// @return the flow, or nothing if it does not wait.
+    std::optional<WaitingFlow> take(const FlowId& flow);
+
     /// Removes the flows whose wait has ended.
     std::vector<WaitingFlow> takeOverdue(TimePoint now);
 
@@ -90,10 +95,14 @@
     /// @return the priority that is served next. The queue must not be empty.
     std::uint32_t nextPriority() const;
     std::size_t nextIndex() const;
+    std::vector<WaitingFlow>::iterator locate(const FlowId& flow);
+    void returnTurn(const WaitingFlow& flow);
     void forgetTurnsIfEmpty();
 
     /// In order of arrival.
     std::vector<WaitingFlow> m_flows;
+    /// Waiting flows, for each of which there is one element of m_flows.
+    std::unordered_set<FlowId, FlowIdHash> m_ids;
     std::map<std::uint32_t, Level> m_levels;
     /// The turn after the last one, by priority and client address, and by route.
     std::map<ClientKey, std::uint64_t> m_clientTurns;
--- a/src/libbergamot/admission/flow_admission.cpp
+++ b/src/libbergamot/admission/flow_admission.cpp
@@ -173,6 +173,8 @@
 
 void FlowAdmission::observe(const FlowPacket& packet, const Route& route, TimePoint now)
 {
+    if (std::optional<WaitingFlow> waiting = m_queue.take(packet.flow))
+        m_openElsewhere.push_back({ waiting->packet, waiting->routeName, FlowVerdict::DropOpenElsewhere });
     m_flows.observe(packet, demandOf(route), now);
 }
 
@@ -192,7 +194,7 @@
 
 std::vector<AdmissionRelease> FlowAdmission::takeReleases(TimePoint now)
 {
-    std::vector<AdmissionRelease> releases;
+    std::vector<AdmissionRelease> releases = std::exchange(m_openElsewhere, {});
     if (m_queue.isEmpty())
         return releases;
     m_flows.expireClaims(now);
@@ -211,7 +213,7 @@
 
 std::vector<AdmissionRelease> FlowAdmission::releaseAll(TimePoint now)
 {
-    std::vector<AdmissionRelease> releases;
+    std::vector<AdmissionRelease> releases = std::exchange(m_openElsewhere, {});
     for (const WaitingFlow& flow : m_queue.takeAll())
         releases.push_back({ flow.packet, flow.routeName, admit(flow.packet.flow, flow.route, now) });
     // Further packets are not observed, so the claims would not end with their requests.
@@ -222,6 +224,8 @@
 
 std::optional<TimePoint> FlowAdmission::nextRelease() const
 {
+    if (!m_openElsewhere.empty())
+        return TimePoint {};
     const std::optional<TimePoint> waitEnd = m_queue.nextWaitEnd();
     const std::optional<TimePoint> expiry = m_flows.nextExpiry();
     return waitEnd && expiry ? std::min(*waitEnd, *expiry) : waitEnd;
--- a/src/libbergamot/admission/flow_admission.h
+++ b/src/libbergamot/admission/flow_admission.h
@@ -35,6 +35,8 @@
     /// Dropped without an answer after its wait: an expected retransmission of its first packet has not come, so
     /// another host may have received and forwarded it.
     DropWaitedTooLong,
+    /// Dropped without an answer, because the flow has been opened through another host.
+    DropOpenElsewhere,
 };
 
 /// A waiting flow about which has been decided.
@@ -68,13 +70,13 @@
     /// Ends the claim of a flow that is reset.
     void forget(const FlowId& flow) { m_flows.forget(flow); }
 
-    /// @return waiting flows that are admitted now, or refused because their wait has ended.
+    /// @return waiting flows that are admitted now, refused because their wait has ended, or dropped.
     std::vector<AdmissionRelease> takeReleases(TimePoint now);
 
     /// Admits all waiting flows and forgets all flows, because admission is no longer in force.
     std::vector<AdmissionRelease> releaseAll(TimePoint now);
 
-    /// @return the time at which takeReleases() is due at the latest, or nothing if no flow waits.
+    /// @return the time at which takeReleases() is due at the latest, or nothing if no flow is to be released.
     std::optional<TimePoint> nextRelease() const;
 
     /// Removes expired state; to be called a few times per second.
@@ -106,6 +108,8 @@
 
     BulkFlows m_flows;
     AdmissionQueue m_queue;
+    /// Flows that have waited here and are open through another host, until they are released.
+    std::vector<AdmissionRelease> m_openElsewhere;
     std::map<RouteKey, std::shared_ptr<RouteDemand>> m_demands;
     /// Flows that this host has refused or dropped after it has received each copy up to the last one.
     std::unordered_map<FlowId, Refusal, FlowIdHash> m_refused;
--- a/src/libbergamot/admission/flow_admission_test.cpp
+++ b/src/libbergamot/admission/flow_admission_test.cpp
@@ -508,3 +508,20 @@
     flows.open(firstPacket(3, uploadPort).flow, route, later);
     CHECK(flows.claimCount() == 1);
 }
+
+TEST_CASE_FIXTURE(
+    Uploads, "half of the hosts lost in a surge: a flow that is open through another host waits no longer")
+{
+    for (int upload = 0; upload < 4; ++upload)
+        start(uploadPort, clientAddress, false);
+    REQUIRE(steering.admissionMetrics().waiting == 1);
+    const FlowPacket waiting = firstPacket(4, uploadPort);
+    CHECK(handle(subsequentPacket(waiting, 0x11, 1001, dataPerPacket, 500)).action == SteeringAction::Forward);
+    CHECK(steering.admissionMetrics().waiting == 0);
+    CHECK(steering.nextRelease() <= clock.now());
+    const std::vector<FlowRelease> releases = steering.takeReleases(clock.now());
+    REQUIRE(releases.size() == 1);
+    CHECK(releases[0].packet.flow == waiting.flow);
+    CHECK(releases[0].decision.action == SteeringAction::Drop);
+    CHECK_FALSE(steering.nextRelease());
+}
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -127,6 +127,8 @@
     case FlowVerdict::DropWaitedTooLong:
         decision.code = ResultCode::FlowWaitedTooLong;
         break;
+    case FlowVerdict::DropOpenElsewhere:
+        break;
     }
     decision.route = route;
     decision.retransmission = packet.acknowledgement;
