Limit the accepted delay of small flows to the retransmission timeout

A quarter of the latency objective, or more for higher priorities, was often above the largest delay that the scheduler of urgent packets reaches, about 226 ms (187.5 ms of the link at 92 % and nine tenths of it), so no small flow was refused. The accepted delay is now at most 200 ms, after which clients repeat their data.

Tested: the new test fails before the change (40 admitted instead of 5 of 40); libbergamot_test passes, 287 cases.

--- a/src/libbergamot/admission/flow_admission.cpp
+++ b/src/libbergamot/admission/flow_admission.cpp
@@ -11,6 +11,9 @@
     /// Part of the latency objective that a flow may wait; the client needs the rest for its next try.
     constexpr int waitDivisor = 4;
     constexpr Duration maxWait { 1000 };
+    /// Clients repeat data after this time without an acknowledgement, which adds to the queue. The scheduler's delay
+    /// for urgent packets is at most about 226 ms, so the limits of routes with a long objective would not be reached.
+    constexpr Duration maxUrgentDelay { 200 };
     /// For routes without a latency objective.
     constexpr Duration defaultObjective { 1000 };
     constexpr std::size_t maxWaitingFlows = 256;
@@ -113,7 +116,7 @@
     // Each priority above the lowest one accepts the delay of another quarter of its objective.
     const std::uint32_t level = m_lowestPriority > route.priority ? m_lowestPriority - route.priority : 0;
     const int quarters = static_cast<int>(std::min<std::uint32_t>(level + 1, waitDivisor));
-    if (m_urgentDelay < objectiveOf(route) / waitDivisor * quarters)
+    if (m_urgentDelay < std::min(maxUrgentDelay, objectiveOf(route) / waitDivisor * quarters))
         return true;
     return ++m_smallRefusals % smallFlowsPerAdmission == 0;
 }
--- a/src/libbergamot/admission/flow_admission_test.cpp
+++ b/src/libbergamot/admission/flow_admission_test.cpp
@@ -525,3 +525,20 @@
     CHECK(releases[0].decision.action == SteeringAction::Drop);
     CHECK_FALSE(steering.nextRelease());
 }
+
+TEST_CASE_FIXTURE(SteeringFixture, "surge of all: no small flow waits behind others for longer than a retransmission")
+{
+    RoutingDocument document = makeDocument(2);
+    document.routes.push_back(makeRoute(444, RequestKind::Idempotent, 2, Duration(4000)));
+    steering.installDocument(document);
+    LinkState state = makeLinkState(false);
+    std::uint16_t clientPort = 0;
+    for (const auto& [delay, admitted] : { std::pair(199, 40), std::pair(220, 5) }) {
+        state.urgentDelay = Duration(delay);
+        steering.setLinkState(state);
+        int count = 0;
+        for (int flow = 0; flow < 40; ++flow)
+            count += handle(firstPacket(++clientPort, 444)).action == SteeringAction::Forward ? 1 : 0;
+        CHECK(count == admitted);
+    }
+}
