Name the test of the permitted wait after what it tests

A comment gave the times of retransmissions as 200 and 400 ms; they are 200 and 600 ms after the original.

--- a/src/libbergamot/admission/bulk_flows.cpp
+++ b/src/libbergamot/admission/bulk_flows.cpp
@@ -13,7 +13,7 @@
     constexpr std::uint32_t smallRequestPackets = 2;
     /// Weight of the newest value in learned means.
     constexpr double newestWeight = 1.0 / 8;
-    /// A flow without packets for this time is quiet. Clients repeat unacknowledged data after 200 and 400 ms.
+    /// A flow without packets for this time is quiet. Clients repeat unacknowledged data after 200 and 600 ms.
     constexpr Duration quietTimeout { 500 };
     /// Time without new data after which further data is another request: clients repeat unacknowledged data after this
     /// time, so all data before has arrived.
--- a/src/libbergamot/admission/flow_admission.cpp
+++ b/src/libbergamot/admission/flow_admission.cpp
@@ -127,7 +127,7 @@
         || static_cast<double>(m_flows.claimedBytes() + demand.claimBytes()) <= m_roomBytes;
 }
 
-bool FlowAdmission::isHopeless(const WaitingFlow& flow, TimePoint now) const
+bool FlowAdmission::exceedsPermittedWait(const WaitingFlow& flow, TimePoint now) const
 {
     if (m_queue.size() >= maxWaitingFlows)
         return true;
@@ -167,7 +167,7 @@
         return admit(packet.flow, demand, now);
     WaitingFlow flow { packet, demand, route.name, route.priority, now, now + objectiveOf(route), now + waitOf(route) };
     // A flow that has been refused does not wait again.
-    if (isRetransmission || isHopeless(flow, now))
+    if (isRetransmission || exceedsPermittedWait(flow, now))
         return refuse(packet, route.name, FlowVerdict::RefuseNoRoom, now);
     ++m_waited;
     m_queue.add(std::move(flow));
--- a/src/libbergamot/admission/flow_admission.h
+++ b/src/libbergamot/admission/flow_admission.h
@@ -104,7 +104,7 @@
     FlowVerdict endWait(const WaitingFlow& flow, TimePoint now);
     bool admitsSmall(const Route& route);
     bool hasRoomFor(const RouteDemand& demand) const;
-    bool isHopeless(const WaitingFlow& flow, TimePoint now) const;
+    bool exceedsPermittedWait(const WaitingFlow& flow, TimePoint now) const;
 
     BulkFlows m_flows;
     AdmissionQueue m_queue;
