--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -263,7 +263,7 @@
     /// long as it may. Views in the result are valid until the next call.
     std::vector<FlowRelease> takeReleases(TimePoint now);
 
-    /// @return the time at which takeReleases() is due at the latest, or nothing if no flow waits.
+    /// @return the time at which takeReleases() is due at the latest, or nothing if no flow waits for a decision.
     std::optional<TimePoint> nextRelease() const;
 
     /// Removes expired flows, reports and targets; to be called a few times per second.
