--- a/src/libbergamot/admission/admission_queue.h
+++ b/src/libbergamot/admission/admission_queue.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,10 @@
     /// The flow is refused if it has not been admitted by this time.
     TimePoint waitEnd;
     std::uint64_t turn = 0;
+    /// Number of the latest copy of the first packet; the original is 0.
+    std::uint32_t lastCopy = 0;
+    /// A copy before the latest one has not come here, so another host may have forwarded it.
+    bool hasSkippedCopy = false;
 };
 
 class AdmissionQueue {
@@ -53,6 +58,10 @@
     /// Removes the flow that next() returns, because it is admitted.
     WaitingFlow takeNext();
 
+    /// Removes a flow that is not admitted.
+    /// @return the flow, or nothing if it does not wait.
+    std::optional<WaitingFlow> take(const FlowId& flow);
+
     /// Removes the flows whose wait has ended.
     std::vector<WaitingFlow> takeOverdue(TimePoint now);
 
@@ -86,10 +95,14 @@
     /// @return the priority that is served next. The queue must not be empty.
     std::uint32_t nextPriority() const;
     std::size_t nextIndex() const;
+    std::vector<WaitingFlow>::iterator locate(const FlowId& flow);
+    void returnTurn(const WaitingFlow& flow);
     void forgetTurnsIfEmpty();
 
     /// In order of arrival.
     std::vector<WaitingFlow> m_flows;
+    /// Waiting flows, for each of which there is one element of m_flows.
+    std::unordered_set<FlowId, FlowIdHash> m_ids;
     std::map<std::uint32_t, Level> m_levels;
     /// The turn after the last one, by priority and client address, and by route.
     std::map<ClientKey, std::uint64_t> m_clientTurns;
