--- a/src/libbergamot/admission/bulk_flows.cpp
+++ b/src/libbergamot/admission/bulk_flows.cpp
@@ -8,11 +8,12 @@
 
     /// Packets that a client sends without an acknowledgement.
     constexpr std::uint32_t windowPackets = 16;
+    constexpr std::uint32_t windowBytes = windowPackets * packetBytes;
     /// Requests of up to this mean size need no admission.
     constexpr std::uint32_t smallRequestPackets = 2;
     /// Weight of the newest value in learned means.
     constexpr double newestWeight = 1.0 / 8;
-    /// A flow without packets for this time is quiet. Clients repeat unacknowledged data after 200 and 400 ms.
+    /// A flow without packets for this time is quiet. Clients repeat unacknowledged data after 200 and 600 ms.
     constexpr Duration quietTimeout { 500 };
     /// Time without new data after which further data is another request: clients repeat unacknowledged data after this
     /// time, so all data before has arrived.
@@ -24,6 +25,8 @@
     constexpr Duration openingTimeout { 1000 };
     /// Later requests of a flow that is not forgotten are learned in full.
     constexpr Duration idleTimeout { 30'000 };
+    /// Clients give up a flow after 1.4 s if its first packet is not answered.
+    constexpr Duration unestablishedTimeout { 2000 };
 
     bool isAfter(std::uint32_t left, std::uint32_t right) { return static_cast<std::int32_t>(left - right) > 0; }
 
@@ -41,7 +44,6 @@
 
 std::uint32_t RouteDemand::claimBytes() const
 {
-    constexpr std::uint32_t windowBytes = windowPackets * packetBytes;
     if (!m_hasRequests)
         return windowBytes;
     return std::clamp(static_cast<std::uint32_t>(m_meanBytes), packetBytes, windowBytes);
@@ -92,6 +94,11 @@
         return;
     updateMean(m_meanClaimMs, static_cast<double>((now - flow.claimedSince).count()), m_meanClaimMs == 0);
     m_ended.count(now);
+    dropClaim(id, flow);
+}
+
+void BulkFlows::dropClaim(const FlowId& id, Flow& flow)
+{
     m_claimedBytes -= flow.claim;
     flow.claim = 0;
     m_claims.erase(id);
@@ -145,11 +152,27 @@
         claim(id, flow, now);
 }
 
+void BulkFlows::skipUnseenData(Flow& flow, const FlowPacket& packet, bool wasQuiet, TimePoint now)
+{
+    if (!isAfter(packet.sequence, flow.nextSequence))
+        return;
+    // A client sends at most one window ahead, and repeats what was lost before it is quiet. The data in between has
+    // come through another host and may be several requests.
+    if (!wasQuiet && packet.sequence - flow.nextSequence <= windowBytes)
+        return;
+    flow.requestBytes = 0;
+    flow.sawBeginning = false;
+    flow.nextSequence = packet.sequence;
+    // The next data belongs to the same request.
+    flow.lastData = now;
+}
+
 void BulkFlows::observe(const FlowPacket& packet, const std::shared_ptr<RouteDemand>& route, TimePoint now)
 {
     auto found = m_flows.find(packet.flow);
     if (found == m_flows.end()) {
-        if (packet.fin || packet.rst)
+        // Without data, the flow has no claim, and its last acknowledgements may come after its end.
+        if (packet.fin || packet.rst || packet.payloadBytes == 0)
             return;
         found = add(packet.flow, route, now);
         if (found == m_flows.end())
@@ -171,6 +194,7 @@
         endRequest(flow);
         release(packet.flow, flow, now);
     }
+    skipUnseenData(flow, packet, wasQuiet, now);
     countData(packet.flow, flow, packet, now);
     if (!packet.fin && !packet.rst)
         return;
@@ -179,6 +203,15 @@
     m_flows.erase(found);
 }
 
+void BulkFlows::forget(const FlowId& id)
+{
+    const auto found = m_flows.find(id);
+    if (found == m_flows.end())
+        return;
+    dropClaim(id, found->second);
+    m_flows.erase(found);
+}
+
 void BulkFlows::expireClaims(TimePoint now)
 {
     if (now < m_nextExpiry)
@@ -196,10 +229,20 @@
         release(id, m_flows.at(id), now);
 }
 
+void BulkFlows::clear()
+{
+    m_flows.clear();
+    m_claims.clear();
+    m_claimedBytes = 0;
+    m_nextExpiry = noDeadline;
+}
+
 void BulkFlows::expireFlows(TimePoint now)
 {
     std::erase_if(m_flows, [now](const FlowMap::value_type& item) {
-        return item.second.claim == 0 && now - item.second.lastSeen >= idleTimeout;
+        const Flow& flow = item.second;
+        const Duration timeout = flow.isEstablished ? idleTimeout : unestablishedTimeout;
+        return flow.claim == 0 && now - flow.lastSeen >= timeout;
     });
 }
 
--- a/src/libbergamot/admission/bulk_flows.h
+++ b/src/libbergamot/admission/bulk_flows.h
@@ -72,9 +72,16 @@
     /// Updates a flow from a later packet; one that was opened through another host counts from then on.
     void observe(const FlowPacket& packet, const std::shared_ptr<RouteDemand>& route, TimePoint now);
 
+    /// Removes a flow that this host resets. Its claim does not count as one that ends, because its duration says
+    /// nothing about how long a request takes.
+    void forget(const FlowId& flow);
+
     /// Ends the claims of flows that have been quiet.
     void expireClaims(TimePoint now);
 
+    /// Forgets all flows and their claims, but not what has been learned.
+    void clear();
+
     /// Forgets flows that have been idle for long.
     void expireFlows(TimePoint now);
 
@@ -109,10 +116,12 @@
 
     TimePoint quietAt(const Flow& flow) const;
     static void endRequest(Flow& flow);
+    static void skipUnseenData(Flow& flow, const FlowPacket& packet, bool wasQuiet, TimePoint now);
     FlowMap::iterator add(const FlowId& id, const std::shared_ptr<RouteDemand>& route, TimePoint now);
     void countData(const FlowId& id, Flow& flow, const FlowPacket& packet, TimePoint now);
     void claim(const FlowId& id, Flow& flow, TimePoint now);
     void release(const FlowId& id, Flow& flow, TimePoint now);
+    void dropClaim(const FlowId& id, Flow& flow);
 
     std::size_t m_capacity;
     FlowMap m_flows;
--- a/src/libbergamot/admission/flow_admission_test.cpp
+++ b/src/libbergamot/admission/flow_admission_test.cpp
@@ -2,6 +2,7 @@
 /// Guards against a link that fills up with large requests until nothing is answered in time, and against admission
 /// that refuses flows without need, after it has forwarded a packet, or always the same ones.
 
+#include "admission/bulk_flows.h"
 #include "overload/steering_fixture.h"
 
 #include <algorithm>
@@ -115,6 +116,27 @@
         });
     }
 
+    /// Lets a client send a lookup of 6,000 bytes, after which lookups need room.
+    void teachLargeLookups()
+    {
+        const FlowPacket first = firstPacket(1, lookupPort);
+        const Cookie cookie = handle(first).cookie;
+        for (std::uint32_t sequence = 1001; sequence < 1001 + 6000; sequence += dataPerPacket)
+            handle(subsequentPacket(first, cookie, sequence, dataPerPacket, 500));
+        handle(subsequentPacket(first, cookie, 7001, 0, 600));
+    }
+
+    /// Lets time pass in which the open uploads keep their claims and nothing is released.
+    void holdRoom(Duration time)
+    {
+        constexpr Duration step { 100 };
+        for (const TimePoint end = clock.now() + time; clock.now() < end;) {
+            clock.advance(step);
+            for (const auto& [flow, upload] : uploads)
+                handle(subsequentPacket(upload.first, upload.cookie, 1001, dataPerPacket, 500));
+        }
+    }
+
     /// Two seconds after a surge, uploads are admitted and answered within their objective.
     void checkRecovery()
     {
@@ -328,6 +350,35 @@
     CHECK(handle(firstPacket(900, uploadPort, 1)).action == SteeringAction::Reset);
 }
 
+TEST_CASE_FIXTURE(Uploads, "bulk surge: no flow is reset after a copy of its first packet has gone to another host")
+{
+    RoutingDocument document = makeDocument(2);
+    document.routes.push_back(makeRoute(82, RequestKind::Upload, 1, Duration(4000)));
+    steering.installDocument(document);
+    for (int upload = 0; upload < 3; ++upload)
+        start();
+    for (std::uint16_t port = 900; port < 903; ++port)
+        CHECK(handle(firstPacket(port, 82)).action == SteeringAction::Wait);
+    handle(firstPacket(910, uploadPort));
+    holdRoom(Duration(200));
+    handle(firstPacket(900, 82, 1));
+    handle(firstPacket(901, 82, 1));
+    holdRoom(Duration(100));
+    REQUIRE(steering.takeReleases(clock.now()).size() == 1);
+    holdRoom(Duration(300));
+    handle(firstPacket(900, 82, 2));
+    handle(firstPacket(902, 82, 2));
+    // Copy 1 of the dropped flow may have been forwarded by another host.
+    CHECK(handle(firstPacket(910, uploadPort, 2)).action == SteeringAction::Forward);
+    holdRoom(Duration(400));
+    const std::vector<FlowRelease> releases = steering.takeReleases(clock.now());
+    REQUIRE(releases.size() == 3);
+    CHECK(releases[0].decision.action == SteeringAction::Reset);
+    CHECK(releases[1].decision.action == SteeringAction::Drop);
+    CHECK(releases[2].decision.action == SteeringAction::Drop);
+    CHECK(handle(firstPacket(902, 82, 2)).action == SteeringAction::Forward);
+}
+
 TEST_CASE_FIXTURE(Uploads, "bulk surge: routes of one priority share the room, whatever their objectives")
 {
     RoutingDocument document = makeDocument(2);
@@ -373,3 +424,121 @@
     CHECK(steering.admissionMetrics().bulkFlows == 1);
     CHECK(steering.admissionMetrics().claimedBytes == 6000);
 }
+
+TEST_CASE_FIXTURE(Uploads, "unresponsive targets in a surge: flows that are reset do not keep the room")
+{
+    const FlowPacket first = firstPacket(1, uploadPort);
+    const Cookie cookie = handle(first).cookie;
+    handle(subsequentPacket(first, cookie, 1001, dataPerPacket, 500));
+    REQUIRE(steering.admissionMetrics().bulkFlows == 1);
+    for (const char* id : { "i-11", "i-12", "i-13" })
+        steering.updateTarget(makeTarget(id, schema::TARGET_GONE), clock.now());
+    clock.advance(Duration(300));
+    CHECK(handle(subsequentPacket(first, cookie, 2201, dataPerPacket, 500)).action == SteeringAction::Reset);
+    CHECK(steering.admissionMetrics().bulkFlows == 0);
+    // No target is left, so placement refuses the flow after admission.
+    CHECK(handle(firstPacket(2, uploadPort)).action == SteeringAction::Reset);
+    CHECK(steering.admissionMetrics().bulkFlows == 0);
+}
+
+TEST_CASE_FIXTURE(Uploads, "unresponsive targets in a surge: flows of an unreachable target do not keep the room")
+{
+    teachLargeLookups();
+    std::vector<FlowPacket> flows;
+    for (std::uint16_t port = 11; port < 17; ++port) {
+        flows.push_back(firstPacket(port, lookupPort));
+        const Cookie cookie = handle(flows.back()).cookie;
+        handle(subsequentPacket(flows.back(), cookie, 1001, 0, 500));
+        handle(subsequentPacket(flows.back(), cookie, 1001, dataPerPacket, 500));
+    }
+    const Cookie cookie = openAndSendRequest(firstPacket(20, lookupPort));
+    const std::size_t before = steering.admissionMetrics().bulkFlows;
+    clock.advance(Duration(200));
+    handle(subsequentPacket(firstPacket(20, lookupPort), cookie, 1001, 100, 500));
+    REQUIRE(probe(cookie, ProbeOutcome::Refused));
+    const std::size_t resets = steering.takeResets(idOf(cookie)).size();
+    REQUIRE(resets > 1);
+    CHECK(steering.admissionMetrics().bulkFlows + resets == before);
+}
+
+TEST_CASE_FIXTURE(
+    Uploads, "half of the hosts lost in a surge: requests sent through another host are not one large one")
+{
+    for (const bool wasQuiet : { false, true }) {
+        const FlowPacket first = firstPacket(wasQuiet ? 2 : 1, lookupPort);
+        const Cookie cookie = handle(first).cookie;
+        handle(subsequentPacket(first, cookie, 1001, 500, 500));
+        clock.advance(wasQuiet ? Duration(600) : Duration(100));
+        const std::uint32_t gap = wasQuiet ? 15'000 : 20'000;
+        // The rest of a request whose beginning went through the other host says nothing about the size of requests.
+        std::uint32_t sequence = 1501 + gap;
+        for (int packet = 0; packet < 20; ++packet, sequence += dataPerPacket)
+            handle(subsequentPacket(first, cookie, sequence, dataPerPacket, 900));
+        handle(subsequentPacket(first, cookie, sequence, 0, 1300));
+        handle(firstPacket(wasQuiet ? 4 : 3, lookupPort));
+        CHECK(steering.admissionMetrics().bulkFlows == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(Uploads, "flows from before a pause of admission do not keep the room after it")
+{
+    start(uploadPort, clientAddress, false);
+    RoutingDocument document = makeDocument(2);
+    for (Route& route : document.routes)
+        route.kind = RequestKind::Idempotent;
+    steering.installDocument(std::move(document));
+    steering.takeReleases(clock.now());
+    steering.installDocument(makeDocument(3));
+    CHECK(steering.admissionMetrics().bulkFlows == 0);
+}
+
+TEST_CASE("half of the hosts lost in a surge: packets of ended or silent flows do not fill the table of flows")
+{
+    BulkFlows flows(1);
+    const auto route = std::make_shared<RouteDemand>(RequestKind::Upload);
+    const TimePoint begin {};
+    const FlowPacket unknown = firstPacket(1, uploadPort);
+    flows.observe(subsequentPacket(unknown, 0x11, 9000, 0, 500), route, begin);
+    flows.open(firstPacket(2, uploadPort).flow, route, begin);
+    CHECK(flows.claimCount() == 1);
+    // A flow that its target does not answer leaves the table after 2 s, not after 30 s.
+    const TimePoint later = begin + Duration(2000);
+    flows.expireClaims(later);
+    flows.expireFlows(later);
+    flows.open(firstPacket(3, uploadPort).flow, route, later);
+    CHECK(flows.claimCount() == 1);
+}
+
+TEST_CASE_FIXTURE(
+    Uploads, "half of the hosts lost in a surge: a flow that is open through another host waits no longer")
+{
+    for (int upload = 0; upload < 4; ++upload)
+        start(uploadPort, clientAddress, false);
+    REQUIRE(steering.admissionMetrics().waiting == 1);
+    const FlowPacket waiting = firstPacket(4, uploadPort);
+    CHECK(handle(subsequentPacket(waiting, 0x11, 1001, dataPerPacket, 500)).action == SteeringAction::Forward);
+    CHECK(steering.admissionMetrics().waiting == 0);
+    CHECK(steering.nextRelease() <= clock.now());
+    const std::vector<FlowRelease> releases = steering.takeReleases(clock.now());
+    REQUIRE(releases.size() == 1);
+    CHECK(releases[0].packet.flow == waiting.flow);
+    CHECK(releases[0].decision.action == SteeringAction::Drop);
+    CHECK_FALSE(steering.nextRelease());
+}
+
+TEST_CASE_FIXTURE(SteeringFixture, "surge of all: no small flow waits behind others for longer than a retransmission")
+{
+    RoutingDocument document = makeDocument(2);
+    document.routes.push_back(makeRoute(444, RequestKind::Idempotent, 2, Duration(4000)));
+    steering.installDocument(document);
+    LinkState state = makeLinkState(false);
+    std::uint16_t clientPort = 0;
+    for (const auto& [delay, admitted] : { std::pair(199, 40), std::pair(220, 5) }) {
+        state.urgentDelay = Duration(delay);
+        steering.setLinkState(state);
+        int count = 0;
+        for (int flow = 0; flow < 40; ++flow)
+            count += handle(firstPacket(++clientPort, 444)).action == SteeringAction::Forward ? 1 : 0;
+        CHECK(count == admitted);
+    }
+}
--- a/src/libbergamot/cookie/slow_start_limit.h
+++ b/src/libbergamot/cookie/slow_start_limit.h
@@ -45,8 +45,8 @@
     /// Records a response of a control host that is in contact with a majority.
     void refreshView(TimePoint now);
 
-    /// Records that a target which could not be reached can be reached again: a host without contact to control hosts
-    /// does not learn whether the target has been started again in the meantime.
+    /// Records that a target which could not be reached can be reached again. Until an answer of a control host that is
+    /// later than this by the time for propagation, the target may have been started again.
     void recordRecovery(const PooledTarget& target, TimePoint now);
 
     /// @return true if the target is in slow start and its service has a limit.
@@ -62,7 +62,7 @@
     void handleRequest(const FlowState& flow, TimePoint now) override;
     void handleSingleRequestFlow(const FlowState& flow) override;
 
-    /// Forgets the counts of targets that are no longer in slow start.
+    /// Forgets counts and ownership of targets that are no longer in slow start.
     void advance(TimePoint now);
 
     SlowStartStatus status(TimePoint now);
@@ -75,25 +75,30 @@
         bool needsSettledList = false;
     };
 
-    /// Requests beyond the first that flows of a service send within the window after they are opened; earlier flows
-    /// weigh less.
-    struct FlowStatistics {
-        std::uint32_t flows = 0;
-        std::uint32_t furtherRequests = 0;
+    /// Flows of a service that this host has seen from their first packet on.
+    struct FlowHistory {
+        bool hasRecurred = false;
+        /// Flows that have ended after one request since the last recurring flow.
+        std::uint32_t singleRequestFlows = 0;
     };
 
+    /// Forgets ownerships and recoveries of targets that are no longer in the pool or in slow start.
+    void forgetTargets(TimePoint now);
     const Rule* findRule(const PooledTarget& target) const;
-    TimePoint slowStartEnd(const PooledTarget& target, TimePoint now) const;
+    /// @return true if control hosts have told whether the target was started again before it could be reached.
+    bool isRecoveryKnown(TimePoint recovery) const;
+    TimePoint slowStartEnd(const PooledTarget& target) const;
     bool isViewStale(TimePoint now) const;
     bool owns(const PooledTarget& target, const Rule& rule, TimePoint now);
     bool isOwnerInList(const PooledTarget& target) const;
     std::uint32_t expectedRequests(const PooledTarget& target, TimePoint now);
-    static void countFlow(FlowStatistics& statistics);
+    bool mayRecur(const std::string& service) const;
 
     SlowStartOptions m_options;
     const TargetPool& m_pool;
     std::unordered_map<std::string, Rule> m_rules;
-    std::unordered_map<std::string, FlowStatistics> m_flowStatistics;
+    /// By service.
+    std::unordered_map<std::string, FlowHistory> m_flowHistories;
     Duration m_longestSlowStart { 0 };
     std::vector<EntryHostLocation> m_hosts;
     /// Received since the last contact.
