Repeat failed attempts within the connection race to control hosts

Cause: after a loss of power an entry host knows three seeds. A race tried each once, ended when the last attempt had timed out (160 ms) and started again after a pause, so a host whose seeds began to listen during that time waited for up to 0.2 s.

Change: a failed attempt is repeated within the race, at once after a timeout and at the earliest 50 ms after the previous one if it was refused; an endpoint that becomes known meanwhile takes part.

Ruled out: the pause after failed connections (open() ignores it), the time to encode and send the table (2 ms).

--- a/src/bergamot-entry/control_client.cpp
+++ b/src/bergamot-entry/control_client.cpp
@@ -17,6 +17,9 @@
     constexpr Duration maxBackoff { 100 };
     /// Time after which a connection to the next control host is attempted: several round trips within a region.
     constexpr Duration attemptDelay { 30 };
+    /// Time from a refused connection to the next one to the same host; its program starts within a fraction of a
+    /// second after its machine.
+    constexpr Duration refusedRetryDelay { 50 };
     /// Delay after a failed call; prevents a busy loop when no control host is reachable.
     constexpr Duration retryDelay { 20 };
     /// Delay between calls to a control host that is isolated, i.e. not in contact with a majority.
@@ -39,7 +42,7 @@
     , m_handler(std::move(handler))
     , m_clients(loop, makeOptions())
     , m_selector(m_self.host(), m_self.data_centre())
-    , m_race(attemptDelay)
+    , m_race(attemptDelay, refusedRetryDelay)
     , m_lastQuorumResponse(loop.now())
     , m_callTimer(loop, [this] { call(); })
     , m_raceTimer(loop, [this] { continueRace(); })
@@ -49,6 +52,7 @@
 void ControlClient::addControlHost(const std::string& endpoint, const std::string& dataCentre)
 {
     m_selector.addCandidate(endpoint, dataCentre);
+    m_race.add(endpoint);
 }
 
 void ControlClient::setStoppedDataCentres(std::uint64_t revision, std::uint32_t openFlows)
@@ -71,7 +75,9 @@
 
 void ControlClient::startRace()
 {
-    m_race.start(m_selector.ranked(m_loop.now()), m_loop.now());
+    std::vector<std::string> endpoints = m_selector.ranked(m_loop.now());
+    m_attemptsUntilLost = endpoints.size();
+    m_race.start(std::move(endpoints), m_loop.now());
     if (m_race.isRunning())
         continueRace();
     else
@@ -105,13 +111,11 @@
         return;
     }
     m_race.recordFailure(endpoint, m_loop.now());
-    if (m_race.isRunning()) {
-        m_selector.recordFailure(endpoint, m_loop.now());
-        // Not at once: the failed attempt may still be on the stack.
-        m_raceTimer.startAt(m_race.nextAttempt());
-        return;
-    }
-    handleFailure(endpoint, "no control host accepts a connection");
+    m_selector.recordFailure(endpoint, m_loop.now());
+    if (m_attemptsUntilLost > 0 && --m_attemptsUntilLost == 0)
+        recordLoss(endpoint, "no control host accepts a connection");
+    // Not at once: the failed attempt may still be on the stack.
+    m_raceTimer.startAt(m_race.nextAttempt());
 }
 
 void ControlClient::send(const std::string& endpoint)
@@ -128,13 +132,18 @@
         [this, endpoint](const RpcResult& result) { handleResult(endpoint, result); });
 }
 
-void ControlClient::handleFailure(const std::string& endpoint, const std::string& reason)
+void ControlClient::recordLoss(const std::string& endpoint, const std::string& reason)
 {
     ++m_failedCalls;
-    m_selector.recordFailure(endpoint, m_loop.now());
     if (std::exchange(m_isConnected, false))
         writeLog(LogLevel::Warning, ResultCode::ControlHostLost, "lost contact with the control host",
             { { "endpoint", endpoint }, { "reason", reason }, { "version", std::to_string(m_documentVersion) } });
+}
+
+void ControlClient::handleFailure(const std::string& endpoint, const std::string& reason)
+{
+    m_selector.recordFailure(endpoint, m_loop.now());
+    recordLoss(endpoint, reason);
     m_callTimer.start(retryDelay);
 }
 
--- a/src/bergamot-entry/control_client.h
+++ b/src/bergamot-entry/control_client.h
@@ -43,13 +43,15 @@
     std::uint64_t failedCalls() const { return m_failedCalls; }
 
 private:
-    /// Calls the current control host, or races for another one.
+    /// Calls the current control host, or races for another one until a connection opens.
     void call();
     void startRace();
     void continueRace();
     void handleAttempt(const std::string& endpoint, bool isOpen);
     void send(const std::string& endpoint);
     void handleResult(const std::string& endpoint, const RpcResult& result);
+    void recordLoss(const std::string& endpoint, const std::string& reason);
+    /// Records a failed call and makes the next one after a pause.
     void handleFailure(const std::string& endpoint, const std::string& reason);
 
     EventLoop& m_loop;
@@ -58,6 +60,8 @@
     RpcClientPool m_clients;
     ControlSelector m_selector;
     ConnectionRace m_race;
+    /// Failed attempts of the race after which this host has lost contact.
+    std::size_t m_attemptsUntilLost = 0;
     std::uint64_t m_documentVersion = 0;
     std::uint64_t m_seenEpoch = 0;
     std::uint64_t m_seenChange = 0;
--- a/src/libbergamot/directory/connection_race.cpp
+++ b/src/libbergamot/directory/connection_race.cpp
@@ -1,40 +1,79 @@
 #include "bergamotroute/connection_race.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bergamotroute {
 
 void ConnectionRace::start(std::vector<std::string> endpoints, TimePoint now)
 {
-    m_waiting.assign(endpoints.rbegin(), endpoints.rend());
+    m_waiting.clear();
     m_pending.clear();
+    for (std::string& endpoint : endpoints)
+        m_waiting.push_back({ std::move(endpoint), now });
     m_nextAttempt = now;
 }
 
+void ConnectionRace::add(const std::string& endpoint)
+{
+    const auto isEndpoint = [&endpoint](const Attempt& attempt) { return attempt.endpoint == endpoint; };
+    const bool isKnown = std::any_of(m_waiting.begin(), m_waiting.end(), isEndpoint)
+        || std::any_of(m_pending.begin(), m_pending.end(), isEndpoint);
+    if (isRunning() && !isKnown)
+        m_waiting.push_back({ endpoint, m_nextAttempt });
+}
+
 std::optional<std::string> ConnectionRace::takeDueAttempt(TimePoint now)
 {
-    if (m_waiting.empty() || now < m_nextAttempt)
+    if (now < m_nextAttempt)
+        return std::nullopt;
+    const auto due = std::find_if(
+        m_waiting.begin(), m_waiting.end(), [now](const Attempt& attempt) { return now >= attempt.time; });
+    if (due == m_waiting.end())
         return std::nullopt;
-    m_pending.push_back(std::move(m_waiting.back()));
-    m_waiting.pop_back();
+    m_pending.push_back({ std::move(due->endpoint), now });
+    m_waiting.erase(due);
     m_nextAttempt = now + m_attemptDelay;
-    return m_pending.back();
+    return m_pending.back().endpoint;
+}
+
+TimePoint ConnectionRace::nextAttempt() const
+{
+    TimePoint next = noDeadline;
+    for (const Attempt& attempt : m_waiting)
+        next = std::min(next, std::max(attempt.time, m_nextAttempt));
+    return next;
 }
 
-TimePoint ConnectionRace::nextAttempt() const { return m_waiting.empty() ? noDeadline : m_nextAttempt; }
+std::vector<ConnectionRace::Attempt>::iterator ConnectionRace::findPending(const std::string& endpoint)
+{
+    return std::find_if(m_pending.begin(), m_pending.end(),
+        [&endpoint](const Attempt& attempt) { return attempt.endpoint == endpoint; });
+}
 
 void ConnectionRace::recordFailure(const std::string& endpoint, TimePoint now)
 {
-    if (std::erase(m_pending, endpoint) > 0)
-        m_nextAttempt = now;
+    const auto failed = findPending(endpoint);
+    if (failed == m_pending.end())
+        return;
+    m_nextAttempt = now;
+    if (m_retryDelay > Duration(0))
+        m_waiting.push_back({ endpoint, failed->time + m_retryDelay });
+    m_pending.erase(failed);
 }
 
 std::optional<std::vector<std::string>> ConnectionRace::recordConnected(const std::string& endpoint)
 {
-    if (std::erase(m_pending, endpoint) == 0)
+    const auto winner = findPending(endpoint);
+    if (winner == m_pending.end())
         return std::nullopt;
+    m_pending.erase(winner);
+    std::vector<std::string> losers;
+    for (Attempt& attempt : m_pending)
+        losers.push_back(std::move(attempt.endpoint));
+    m_pending.clear();
     m_waiting.clear();
-    return std::exchange(m_pending, {});
+    return losers;
 }
 
 }
--- a/src/libbergamot/directory/connection_race_test.cpp
+++ b/src/libbergamot/directory/connection_race_test.cpp
@@ -5,6 +5,7 @@
 #include "bergamotroute/connection_race.h"
 
 #include <doctest/doctest.h>
+#include <map>
 
 using namespace bergamotroute;
 
@@ -83,3 +84,65 @@
     CHECK_FALSE(race.recordConnected("1:1").has_value());
     CHECK(race.isRunning());
 }
+
+TEST_CASE("a host that starts just after its attempt is connected within the connection timeout")
+{
+    constexpr Duration connectTimeout { 100 };
+    constexpr Duration retryDelay { 50 };
+    ManualClock clock;
+    ConnectionRace race(attemptDelay, retryDelay);
+    race.start({ "1:1", "2:1", "3:1" }, clock.now());
+    std::map<std::string, TimePoint> pending;
+    const auto advance = [&] {
+        while (const std::optional<std::string> due = race.takeDueAttempt(clock.now()))
+            pending[*due] = clock.now();
+        clock.advance(Duration(1));
+        for (auto attempt = pending.begin(); attempt != pending.end();) {
+            const bool isTimedOut = clock.now() - attempt->second >= connectTimeout;
+            if (isTimedOut)
+                race.recordFailure(attempt->first, clock.now());
+            attempt = isTimedOut ? pending.erase(attempt) : std::next(attempt);
+        }
+    };
+    for (int i = 0; i < 400; ++i)
+        advance();
+    // Endpoint 2 runs from now on; attempts made before got no answer and get none.
+    const TimePoint begin = clock.now();
+    while (pending["2:1"] < begin && clock.now() - begin <= connectTimeout)
+        advance();
+    CHECK(clock.now() - begin <= connectTimeout);
+    CHECK(race.recordConnected("2:1").has_value());
+    CHECK_FALSE(race.isRunning());
+}
+
+TEST_CASE("endpoints that refuse are attempted again after the retry delay, not in a busy loop")
+{
+    constexpr Duration retryDelay { 50 };
+    ManualClock clock;
+    ConnectionRace race(attemptDelay, retryDelay);
+    race.start({ "1:1", "2:1" }, clock.now());
+    int attempts = 0;
+    for (int i = 0; i < 1000; ++i) {
+        while (const std::optional<std::string> due = race.takeDueAttempt(clock.now())) {
+            ++attempts;
+            race.recordFailure(*due, clock.now());
+        }
+        CHECK(race.nextAttempt() > clock.now());
+        clock.advance(Duration(1));
+    }
+    CHECK(attempts == 2 * 1000 / retryDelay.count());
+}
+
+TEST_CASE_FIXTURE(Fixture, "an endpoint that becomes known during the race takes part once")
+{
+    takeDue();
+    race.add("4:1");
+    race.add("1:1");
+    Endpoints attempted;
+    for (int i = 0; i < 4; ++i) {
+        clock.advance(attemptDelay);
+        for (const std::string& endpoint : takeDue())
+            attempted.push_back(endpoint);
+    }
+    CHECK(attempted == Endpoints { "2:1", "3:1", "4:1" });
+}
