Send the registry to entry hosts in parts, and not at all if they have it

Cause: an entry host that starts, or turns to another control host, got the whole registry in one answer. With 3,000 targets that is 210 KB, 0.7 s on 2.5 Mbit/s without other traffic; a call ends after 1.25 s and the next one begins from the start. Every control host numbers its changes itself, so each change of the control host repeats the transfer, also every 0.2 s while control hosts have no contact with a majority.

Change: an answer holds at most 400 targets, in the order of their events, and the next call gets the rest. The first call to another control host carries a digest of the registry; with an equal one no target is sent. An entry host that starts holds new flows until the registry is whole, because hosts that start together would place all flows on the targets of the first part.

--- a/src/bergamot-directory/entry_sync.cpp
+++ b/src/bergamot-directory/entry_sync.cpp
@@ -20,6 +20,9 @@
     /// may have newer data.
     constexpr Duration isolatedAfter { 1200 };
     constexpr Duration maxHostAge { 5000 };
+    /// Maximum number of targets in one answer. A target takes about 70 bytes, so that the answer takes about 0.1 s on
+    /// a link of 2 Mbit/s. A registry of thousands of targets in one answer would take longer than the call may.
+    constexpr std::size_t maxTargetsPerAnswer = 400;
     /// Maximum time after the start for which entry hosts that have just started wait until this host knows whether an
     /// order in its log is in force; several elections.
     constexpr Duration maxOrderWait { 3000 };
@@ -83,16 +86,31 @@
         || request.data_centres_revision() < m_quorum.log().configuration().data_centres_revision();
 }
 
-void EntrySync::respond(const schema::EntrySyncRequest& request, const RpcReply& reply)
+bool EntrySync::hasSameRegistry(const schema::EntrySyncRequest& request) const
+{
+    return request.registry_digest() != 0 && request.registry_digest() == m_registry.digest(m_loop.now());
+}
+
+void EntrySync::addTargets(schema::EntrySyncAnswer& response, const schema::EntrySyncRequest& request) const
 {
-    const TimePoint now = m_loop.now();
-    const bool isKnown = request.seen_epoch() == m_replicator.epoch();
-    schema::EntrySyncAnswer response;
     response.set_epoch(m_replicator.epoch());
-    response.set_change(m_registry.lastEvent());
+    const bool isKnown = request.seen_epoch() == m_replicator.epoch();
+    if (!isKnown && hasSameRegistry(request)) {
+        response.set_change(m_registry.lastEvent());
+        return;
+    }
+    EventBatch batch = m_registry.nextEvents(isKnown ? request.seen_change() : 0, maxTargetsPerAnswer, m_loop.now());
     response.set_complete(!isKnown);
-    for (schema::TargetRecord& record : m_registry.eventsSince(isKnown ? request.seen_change() : 0, now))
+    response.set_change(batch.lastEvent);
+    response.set_more(batch.lastEvent < m_registry.lastEvent());
+    for (schema::TargetRecord& record : batch.records)
         *response.add_targets() = std::move(record);
+}
+
+void EntrySync::respond(const schema::EntrySyncRequest& request, const RpcReply& reply)
+{
+    schema::EntrySyncAnswer response;
+    addTargets(response, request);
     const schema::Document& document = m_quorum.log().configuration().document();
     // Without a document the entry host is not ready, so it places no flow by an older list.
     const bool lacksOrder = mayLackOrder(request);
--- a/src/bergamot-directory/entry_sync.h
+++ b/src/bergamot-directory/entry_sync.h
@@ -36,6 +36,9 @@
     /// @return true if the entry host has just started and this host may lack an evacuation that was acknowledged.
     bool mayLackOrder(const schema::EntrySyncRequest& request) const;
     bool hasUpdate(const schema::EntrySyncRequest& request) const;
+    /// @return true if the entry host has the same targets from another control host.
+    bool hasSameRegistry(const schema::EntrySyncRequest& request) const;
+    void addTargets(schema::EntrySyncAnswer& response, const schema::EntrySyncRequest& request) const;
     void respond(const schema::EntrySyncRequest& request, const RpcReply& reply);
     void respondToPending(bool all);
 
--- a/src/bergamot-entry/control_client.cpp
+++ b/src/bergamot-entry/control_client.cpp
@@ -36,10 +36,12 @@
 
 }
 
-ControlClient::ControlClient(EventLoop& loop, schema::EntryHostRecord self, Handler handler)
+ControlClient::ControlClient(
+    EventLoop& loop, schema::EntryHostRecord self, Handler handler, std::function<std::uint64_t()> registryDigest)
     : m_loop(loop)
     , m_self(std::move(self))
     , m_handler(std::move(handler))
+    , m_registryDigest(std::move(registryDigest))
     , m_clients(loop, makeOptions())
     , m_selector(m_self.host(), m_self.data_centre())
     , m_race(attemptDelay, refusedRetryDelay)
@@ -65,7 +67,8 @@
 
 void ControlClient::call()
 {
-    const std::string endpoint = m_selector.usable();
+    // Another control host would send its registry from the beginning.
+    const std::string endpoint = std::exchange(m_hasMore, false) ? m_lastEndpoint : m_selector.usable();
     RpcClient* client = endpoint.empty() ? nullptr : m_clients.clientFor(endpoint);
     if (client && client->isConnected())
         send(endpoint);
@@ -123,6 +126,8 @@
     schema::EntrySyncRequest request;
     *request.mutable_sender() = m_self;
     request.set_document_version(m_documentVersion);
+    if (endpoint != m_lastEndpoint)
+        request.set_registry_digest(m_registryDigest());
     request.set_seen_epoch(m_seenEpoch);
     request.set_seen_change(m_seenChange);
     request.set_seen_entry_hosts(m_seenEntryHosts);
@@ -163,6 +168,8 @@
         writeLog(LogLevel::Info, ResultCode::ControlHostRegained, "connected to the control host",
             { { "endpoint", endpoint }, { "isolated", response.isolated() ? "true" : "false" },
                 { "version", std::to_string(m_documentVersion) } });
+    m_lastEndpoint = endpoint;
+    m_hasMore = response.more();
     m_hasQuorumResponse = m_hasQuorumResponse || !response.isolated();
     if (!response.isolated())
         m_lastQuorumResponse = m_loop.now();
@@ -172,7 +179,7 @@
     for (const schema::ControlHostRecord& host : response.control_hosts())
         m_selector.addCandidate(host.rpc_endpoint(), host.data_centre());
     m_handler(response);
-    m_callTimer.start(response.isolated() ? isolatedRetryDelay : Duration(0));
+    m_callTimer.start(response.isolated() && !m_hasMore ? isolatedRetryDelay : Duration(0));
 }
 
 }
--- a/src/bergamot-entry/control_client.h
+++ b/src/bergamot-entry/control_client.h
@@ -22,7 +22,10 @@
 
     /// @param self record of this host, sent with each call.
     /// @param handler receives each response before the next call is made.
-    ControlClient(EventLoop& loop, schema::EntryHostRecord self, Handler handler);
+    /// @param registryDigest returns the digest of this host's copy of the registry, so that a control host that has
+    /// the same one does not send it.
+    ControlClient(
+        EventLoop& loop, schema::EntryHostRecord self, Handler handler, std::function<std::uint64_t()> registryDigest);
 
     void addControlHost(const std::string& endpoint, const std::string& dataCentre);
 
@@ -57,12 +60,16 @@
     EventLoop& m_loop;
     schema::EntryHostRecord m_self;
     Handler m_handler;
+    std::function<std::uint64_t()> m_registryDigest;
     RpcClientPool m_clients;
     ControlSelector m_selector;
     ConnectionRace m_race;
     /// Failed attempts of the race after which this host has lost contact.
     std::size_t m_attemptsUntilLost = 0;
     std::uint64_t m_documentVersion = 0;
+    /// Control host that has responded last, and whether the rest of its registry is to be fetched from it.
+    std::string m_lastEndpoint;
+    bool m_hasMore = false;
     std::uint64_t m_seenEpoch = 0;
     std::uint64_t m_seenChange = 0;
     std::uint64_t m_seenEntryHosts = 0;
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -91,8 +91,10 @@
     , m_adapter(std::move(adapter))
     , m_steering(makeOptions(m_settings, m_adapter.targetNumber))
     , m_registry(makeRegistryOptions(m_settings))
-    , m_controlClient(loop, makeRecord(m_settings),
-          [this](const schema::EntrySyncAnswer& response) { handleSyncResponse(response); })
+    , m_controlClient(
+          loop, makeRecord(m_settings),
+          [this](const schema::EntrySyncAnswer& response) { handleSyncResponse(response); },
+          [this] { return m_registry.digest(m_loop.now()); })
     , m_readinessServer(loop)
     , m_metricsServer(loop)
     , m_packets(loop, m_steering, m_adapter.codec, m_settings.link_mbps() * bytesPerMegabit, m_histograms)
@@ -177,6 +179,9 @@
         applyStoppedDataCentres(response.stopped_data_centres());
     for (const schema::TargetRecord& record : response.targets())
         m_registry.merge(record, false, m_loop.now());
+    const bool isComplete = !response.more() && !m_registry.targets().empty();
+    m_isRegistryLoaded = m_isRegistryLoaded || isComplete;
+    m_steering.setRegistryLoaded(m_isRegistryLoaded);
     if (response.entry_hosts_size() > 0) {
         std::vector<Endpoint> localPeers;
         std::vector<Endpoint> remotePeers;
@@ -257,7 +262,7 @@
 
 bool CookieEntryDaemon::isReady() const
 {
-    return !m_stopping && m_steering.documentVersion() > 0 && !m_registry.targets().empty();
+    return !m_stopping && m_steering.documentVersion() > 0 && m_isRegistryLoaded;
 }
 
 void CookieEntryDaemon::logDecision(const FlowPacket& packet, const SteeringDecision& decision) const
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -72,6 +72,8 @@
     LoadReporter m_reporter;
     bool m_stopping = false;
     bool m_wasReady = false;
+    /// The whole registry of a control host has been received once.
+    bool m_isRegistryLoaded = false;
     Timer m_checkTimer;
     Timer m_stopTimer;
 };
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -201,6 +201,10 @@
     /// @return true if it was installed.
     bool installDocument(RoutingDocument document);
 
+    /// Sets whether all targets are known; true unless set. New flows are held until then, because the hosts that start
+    /// together would otherwise place all of them on the few targets that they know.
+    void setRegistryLoaded(bool isLoaded);
+
     /// Applies a change of a target in the registry.
     void updateTarget(const RegisteredTarget& target, TimePoint now);
 
--- a/src/include/bergamotroute/target_registry.h
+++ b/src/include/bergamotroute/target_registry.h
@@ -54,6 +54,13 @@
     std::uint64_t lastEvent = 0;
 };
 
+/// Some of the records of a registry in the order of their events.
+struct EventBatch {
+    std::vector<schema::TargetRecord> records;
+    /// Event up to which the records are complete.
+    std::uint64_t lastEvent = 0;
+};
+
 struct RegistryOptions {
     /// Time without a heartbeat after which a target counts as silent.
     Duration silentAfter { 4000 };
@@ -113,14 +120,22 @@
     /// @return records with an event after it, with their current ages.
     std::vector<schema::TargetRecord> eventsSince(std::uint64_t event, TimePoint now) const;
 
+    /// @param event an earlier value of lastEvent().
+    /// @param maxRecords maximum number of records, at least 1; those with the earliest events are taken.
+    /// @return records with an event after it, with their current ages.
+    EventBatch nextEvents(std::uint64_t event, std::size_t maxRecords, TimePoint now) const;
+
+    /// @return a digest of all targets without the times and numbers of their heartbeats; equal in two registries from
+    /// which hosts would make the same decisions. Zero, which equals nothing, if there is no target or one is in slow
+    /// start, because the end of slow start is not exact.
+    std::uint64_t digest(TimePoint now) const;
+
 private:
     TargetEvent apply(
         RegisteredTarget& target, const schema::TargetRecord& record, bool isNew, bool isHeartbeat, TimePoint now);
     void supersedeEarlierTargets(const schema::TargetRecord& record);
     bool isSuperseded(const schema::TargetRecord& record) const;
     void updateEndpointIndex(const std::string& id, const std::string& previousEndpoint, const std::string& endpoint);
-    std::vector<schema::TargetRecord> recordsAfter(
-        std::uint64_t number, std::uint64_t RegisteredTarget::*last, TimePoint now) const;
     bool isSlowStartExtended(const RegisteredTarget& target, TimePoint now) const;
     void recordEvent(RegisteredTarget& target, TargetEvent event);
     void updateSilence(RegisteredTarget& target, Duration age, TimePoint now);
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -235,6 +235,8 @@
 
 void CookieSteering::refreshView(TimePoint now) { m_implementation->slowStartLimit.refreshView(now); }
 
+void CookieSteering::setRegistryLoaded(bool isLoaded) { m_implementation->firstPackets.setRegistryLoaded(isLoaded); }
+
 void CookieSteering::updateTarget(const RegisteredTarget& target, TimePoint now)
 {
     m_implementation->pool.update(target, now);
--- a/src/libbergamot/cookie/cookie_steering_test.cpp
+++ b/src/libbergamot/cookie/cookie_steering_test.cpp
@@ -463,3 +463,17 @@
     CHECK(steering.explainPlacement(unknown.flow, clock.now()).code()
         == static_cast<std::uint32_t>(ResultCode::FlowRouteUnknown));
 }
+
+TEST_CASE("a host that has received a part of the registry holds new flows, and forwards those that are open")
+{
+    ManualClock clock;
+    CookieSteering steering { CookieSteeringOptions { "entry-1", "a", parseTargetNumber } };
+    steering.installDocument(makeDocument());
+    steering.setRegistryLoaded(false);
+    steering.updateTarget(makeTarget("i-11"), clock.now());
+    CHECK(steering.handlePacket(firstPacket(1), clock.now()).action == SteeringAction::Hold);
+    const FlowPacket open = subsequentPacket(firstPacket(2), 0x11, 1001, 50, 1);
+    CHECK(steering.handlePacket(open, clock.now()).action == SteeringAction::Forward);
+    steering.setRegistryLoaded(true);
+    CHECK(steering.handlePacket(firstPacket(1), clock.now()).action == SteeringAction::Forward);
+}
--- a/src/libbergamot/cookie/first_packet_steering.cpp
+++ b/src/libbergamot/cookie/first_packet_steering.cpp
@@ -83,6 +83,11 @@
 void FirstPacketSteering::chooseTarget(const FlowPacket& packet, Plan& plan, const PooledTarget* excluded,
     TimePoint now, std::vector<WeighedTarget>* weighed) const
 {
+    if (!m_isRegistryLoaded) {
+        plan.code = ResultCode::FlowNoTarget;
+        plan.isHeld = true;
+        return;
+    }
     plan.choice = m_placement.choose(
         m_pool.targetsOf(*plan.service), excluded, now, hashFlow(packet.flow, sampleSeed), weighed);
     PooledTarget* tested = excluded ? nullptr : chooseForMinimumTraffic(packet, plan, now);
--- a/src/libbergamot/cookie/first_packet_steering.h
+++ b/src/libbergamot/cookie/first_packet_steering.h
@@ -38,6 +38,9 @@
         m_isOverloaded = isOverloaded;
     }
 
+    /// Sets whether all targets are known; new flows are held until then.
+    void setRegistryLoaded(bool isLoaded) { m_isRegistryLoaded = isLoaded; }
+
     /// Sends slow targets their minimum traffic from now on.
     /// @param learning must outlive the object.
     void setLearning(const CapacityLearning& learning) { m_learning = &learning; }
@@ -86,6 +89,7 @@
     SlowStartLimit& m_slowStartLimit;
     SteeringCounters& m_counters;
     RetryBudget m_retryBudget;
+    bool m_isRegistryLoaded = true;
     bool m_controlsOverload = false;
     bool m_isOverloaded = false;
     const CapacityLearning* m_learning = nullptr;
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <xxhash.h>
 
 namespace bergamotroute {
 
@@ -191,25 +192,62 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-std::vector<schema::TargetRecord> TargetRegistry::recordsAfter(
-    std::uint64_t number, std::uint64_t RegisteredTarget::*last, TimePoint now) const
+std::vector<schema::TargetRecord> TargetRegistry::changesSince(std::uint64_t change, TimePoint now) const
 {
     std::vector<schema::TargetRecord> records;
     for (const auto& [id, target] : m_targets) {
-        if (target.*last > number)
+        if (target.lastChange > change)
             records.push_back(exportRecord(target, now));
     }
     return records;
 }
 
-std::vector<schema::TargetRecord> TargetRegistry::changesSince(std::uint64_t change, TimePoint now) const
+std::vector<schema::TargetRecord> TargetRegistry::eventsSince(std::uint64_t event, TimePoint now) const
 {
-    return recordsAfter(change, &RegisteredTarget::lastChange, now);
+    return nextEvents(event, m_targets.size(), now).records;
 }
 
-std::vector<schema::TargetRecord> TargetRegistry::eventsSince(std::uint64_t event, TimePoint now) const
+EventBatch TargetRegistry::nextEvents(std::uint64_t event, std::size_t maxRecords, TimePoint now) const
+{
+    std::vector<const RegisteredTarget*> targets;
+    for (const auto& [id, target] : m_targets) {
+        if (target.lastEvent > event)
+            targets.push_back(&target);
+    }
+    EventBatch batch;
+    batch.lastEvent = m_lastEvent;
+    if (targets.size() > maxRecords) {
+        const auto isEarlier = [](const RegisteredTarget* left, const RegisteredTarget* right) {
+            return left->lastEvent < right->lastEvent;
+        };
+        std::partial_sort(
+            targets.begin(), targets.begin() + static_cast<std::ptrdiff_t>(maxRecords), targets.end(), isEarlier);
+        targets.resize(maxRecords);
+        batch.lastEvent = targets.back()->lastEvent;
+    }
+    for (const RegisteredTarget* target : targets)
+        batch.records.push_back(exportRecord(*target, now));
+    return batch;
+}
+
+std::uint64_t TargetRegistry::digest(TimePoint now) const
 {
-    return recordsAfter(event, &RegisteredTarget::lastEvent, now);
+    std::uint64_t sum = 0;
+    std::string text;
+    for (const auto& [id, target] : m_targets) {
+        const schema::TargetRecord& record = target.record;
+        if (target.slowStartUntil > now)
+            return 0;
+        text.clear();
+        for (const std::string& part : { id, record.service(), record.endpoint(), record.data_centre() })
+            text.append(part).push_back('\0');
+        for (const std::uint64_t number : { std::uint64_t { record.slots() }, std::uint64_t { record.born_ms() },
+                 static_cast<std::uint64_t>(record.phase()), std::uint64_t { target.silent } })
+            text.append(std::to_string(number)).push_back('\0');
+        // A sum does not depend on the order of the targets.
+        sum += XXH3_64bits(text.data(), text.size());
+    }
+    return sum;
 }
 
 }
--- a/src/libbergamot/directory/target_registry_test.cpp
+++ b/src/libbergamot/directory/target_registry_test.cpp
@@ -197,3 +197,63 @@
     }
     CHECK(registry.find("i-1") == nullptr);
 }
+
+TEST_CASE_FIXTURE(Fixture, "a registry that is read in parts arrives whole, also if targets change between the parts")
+{
+    for (int i = 0; i < 1000; ++i)
+        merge(makeHeartbeat("i-" + std::to_string(i), 100, 1, schema::TARGET_READY, "10.0.0.1:" + std::to_string(i)));
+    TargetRegistry copy { { .silenceFromRecords = true } };
+    std::uint64_t event = 0;
+    int parts = 0;
+    while (event < registry.lastEvent()) {
+        const EventBatch batch = registry.nextEvents(event, 300, clock.now());
+        CHECK(batch.records.size() <= 300);
+        for (const schema::TargetRecord& record : batch.records)
+            copy.merge(record, false, clock.now());
+        event = batch.lastEvent;
+        // A target of the first part and one of the last part change.
+        if (++parts == 1) {
+            merge(makeHeartbeat("i-0", 100, 2, schema::TARGET_DRAINING, "10.0.0.1:0"));
+            registry.remove("i-999", 0, clock.now());
+        }
+    }
+    CHECK(parts == 4);
+    CHECK(copy.targets().size() == 1000);
+    CHECK(phaseOf(copy, "i-0") == schema::TARGET_DRAINING);
+    CHECK(phaseOf(copy, "i-999") == schema::TARGET_GONE);
+    CHECK(copy.digest(clock.now()) == registry.digest(clock.now()));
+}
+
+TEST_CASE_FIXTURE(Fixture, "only registries with the same targets have the same digest")
+{
+    TargetRegistry other { RegistryOptions {} };
+    const auto isSame = [&] { return registry.digest(clock.now()) == other.digest(clock.now()); };
+    CHECK(registry.digest(clock.now()) == 0);
+    merge(makeHeartbeat("i-1", 100, 1));
+    merge(makeHeartbeat("i-2", 100, 1, schema::TARGET_READY, "10.0.0.2:80"));
+    other.merge(makeHeartbeat("i-2", 100, 7, schema::TARGET_READY, "10.0.0.2:80"), true, clock.now());
+    CHECK_FALSE(isSame());
+    other.merge(makeHeartbeat("i-1", 100, 9), true, clock.now());
+    CHECK(isSame());
+    merge(makeHeartbeat("i-1", 100, 2, schema::TARGET_DRAINING));
+    CHECK_FALSE(isSame());
+    other.merge(makeHeartbeat("i-1", 100, 10, schema::TARGET_DRAINING), true, clock.now());
+    CHECK(isSame());
+    registry.remove("i-2", 0, clock.now());
+    CHECK_FALSE(isSame());
+    other.remove("i-2", 0, clock.now());
+    CHECK(isSame());
+    clock.advance(Duration(5000));
+    registry.advance(clock.now());
+    CHECK_FALSE(isSame());
+    other.advance(clock.now());
+    CHECK(isSame());
+    schema::TargetRecord cold = makeHeartbeat("i-3", 100, 1, schema::TARGET_READY, "10.0.0.3:80");
+    cold.set_cold_left_ms(500);
+    merge(cold);
+    other.merge(cold, true, clock.now());
+    CHECK(registry.digest(clock.now()) == 0);
+    clock.advance(Duration(600));
+    CHECK(registry.digest(clock.now()) != 0);
+    CHECK(isSame());
+}
