--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -55,6 +55,7 @@
         options.slowStartAllowance = settings.slow_start_allowance();
         options.targetHeartbeat = Duration(settings.target_heartbeat_ms());
         options.learnCapacity = settings.learn_capacity();
+        options.hostsPerGroup = settings.hosts_per_target_group();
         return options;
     }
 
@@ -182,19 +183,8 @@
     const bool isComplete = !response.more() && !m_registry.targets().empty();
     m_isRegistryLoaded = m_isRegistryLoaded || isComplete;
     m_steering.setRegistryLoaded(m_isRegistryLoaded);
-    if (response.entry_hosts_size() > 0) {
-        std::vector<Endpoint> localPeers;
-        std::vector<Endpoint> remotePeers;
-        std::vector<EntryHostLocation> locations;
-        for (const schema::EntryHostRecord& host : response.entry_hosts()) {
-            const bool isLocal = host.data_centre() == m_settings.data_centre();
-            if (host.host() != m_settings.host())
-                (isLocal ? localPeers : remotePeers).push_back(parseEndpoint(host.peer_endpoint()));
-            locations.push_back({ host.host(), host.data_centre() });
-        }
-        m_steering.setEntryHosts(std::move(locations));
-        m_reporter.setPeers(std::move(localPeers), std::move(remotePeers));
-    }
+    if (response.entry_hosts_size() > 0)
+        applyEntryHosts(response);
     if (!response.isolated())
         m_steering.refreshView(m_loop.now());
     m_packets.retryHeldPackets();
@@ -206,6 +196,23 @@
     }
 }
 
+void CookieEntryDaemon::applyEntryHosts(const schema::EntrySyncAnswer& response)
+{
+    std::vector<EntryHostLocation> locations;
+    for (const schema::EntryHostRecord& host : response.entry_hosts())
+        locations.push_back({ host.host(), host.data_centre() });
+    m_steering.setEntryHosts(locations);
+    LoadReportPeers peers;
+    for (const schema::EntryHostRecord& host : response.entry_hosts()) {
+        if (host.host() == m_settings.host())
+            continue;
+        const bool isLocal = host.data_centre() == m_settings.data_centre();
+        const bool isMember = m_steering.isGroupMember({ host.host(), host.data_centre() });
+        (isMember ? peers.group : isLocal ? peers.local : peers.remote).push_back(parseEndpoint(host.peer_endpoint()));
+    }
+    m_reporter.setPeers(std::move(peers));
+}
+
 void CookieEntryDaemon::installRoutingTable(const std::string& routingTable)
 {
     schema::RoutingTable table;
--- a/src/bergamot-entry/cookie_entry_daemon.h
+++ b/src/bergamot-entry/cookie_entry_daemon.h
@@ -51,6 +51,7 @@
     void handleSyncResponse(const schema::EntrySyncAnswer& response);
     void applyStoppedDataCentres(const schema::StoppedDataCentres& list);
     void reportStoppedDataCentres();
+    void applyEntryHosts(const schema::EntrySyncAnswer& response);
     void installRoutingTable(const std::string& routingTable);
     void handleTargetEvent(const RegisteredTarget& target, TargetEvent event);
     void logDecision(const FlowPacket& packet, const SteeringDecision& decision) const;
--- a/src/bergamot-entry/load_reporter.cpp
+++ b/src/bergamot-entry/load_reporter.cpp
@@ -32,18 +32,12 @@
     return {};
 }
 
-void LoadReporter::setPeers(std::vector<Endpoint> localPeers, std::vector<Endpoint> remotePeers)
-{
-    m_localPeers = std::move(localPeers);
-    m_remotePeers = std::move(remotePeers);
-}
-
 void LoadReporter::scheduleReport()
 {
     if (std::exchange(m_isScheduled, true))
         return;
-    const Duration interval = m_pacer.localInterval(m_reportedLoad.size(), m_localPeers.size());
-    m_timer.startAt(std::max(m_loop.now(), m_lastLocalReport + interval));
+    const Duration interval = m_pacer.localInterval(m_reportedLoad.size(), m_peers.group.size());
+    m_timer.startAt(std::max(m_loop.now(), m_lastGroupReport + interval));
 }
 
 void LoadReporter::receive()
@@ -63,27 +57,34 @@
     schema::TargetLoadReport report = m_steering.makeReport();
     const std::uint64_t sequence = report.sequence();
     report.clear_sequence();
-    m_steering.setEvidence(report, m_lastLocalReport, now);
+    m_steering.setEvidence(report, m_lastGroupReport, now);
     std::string load = report.SerializeAsString();
-    const Duration localReportInterval = m_pacer.localInterval(load.size(), m_localPeers.size());
-    if (load == m_reportedLoad && now - m_lastLocalReport < LoadReportPacer::repeatInterval(localReportInterval))
+    const Duration interval = m_pacer.localInterval(load.size(), m_peers.group.size());
+    if (load == m_reportedLoad && now - m_lastGroupReport < LoadReportPacer::repeatInterval(interval))
         return;
-    const std::size_t loadBytes = load.size();
     m_reportedLoad = std::move(load);
     report.set_sequence(sequence);
-    sendTo(m_localPeers, report, localReportInterval);
-    m_lastLocalReport = now;
+    sendTo(m_peers.group, report, interval);
+    m_lastGroupReport = now;
+    // Each other host gets one of several reports, which has to contain the evidence of the others.
+    sendInRotation(m_localRotation, m_peers.local, m_localReportInterval, report);
     // A target that this host cannot reach may be reachable from other data centres.
     report.clear_unreachable_cookies();
-    // Each remote host gets one of several reports, which has to contain the evidence of the others.
-    const std::size_t localBytes = report.ByteSizeLong();
-    m_steering.setEvidence(report, now - m_remoteReportInterval, now);
-    const std::size_t remoteBytes = loadBytes + report.ByteSizeLong() - localBytes;
-    m_remoteReportInterval = m_pacer.remoteInterval(remoteBytes, m_remotePeers.size());
-    sendTo(m_remoteRotation.takeDue(m_remotePeers, m_remoteReportInterval, now), report, m_remoteReportInterval);
+    sendInRotation(m_remoteRotation, m_peers.remote, m_remoteReportInterval, report);
     m_socket.flush();
 }
 
+void LoadReporter::sendInRotation(
+    ReportRotation& rotation, std::span<const Endpoint> peers, Duration& interval, schema::TargetLoadReport& report)
+{
+    if (peers.empty())
+        return;
+    const TimePoint now = m_loop.now();
+    m_steering.setEvidence(report, now - interval, now);
+    interval = m_pacer.remoteInterval(report.ByteSizeLong(), peers.size());
+    sendTo(rotation.takeDue(peers, interval, now), report, interval);
+}
+
 void LoadReporter::sendTo(std::span<const Endpoint> peers, schema::TargetLoadReport& report, Duration interval)
 {
     report.set_valid_ms(static_cast<std::uint32_t>(LoadReportPacer::validity(interval).count()));
--- a/src/bergamot-entry/load_reporter.h
+++ b/src/bergamot-entry/load_reporter.h
@@ -15,6 +15,15 @@
 
 namespace bergamotroute {
 
+/// Recipients of load reports.
+struct LoadReportPeers {
+    /// Entry hosts that share targets with this host: its group, or all of its data centre if there are no groups.
+    std::vector<Endpoint> group;
+    /// Other entry hosts of this data centre, and those of other ones.
+    std::vector<Endpoint> local;
+    std::vector<Endpoint> remote;
+};
+
 class LoadReporter {
 public:
     /// @param steering provides the load of this host and receives that of others; must outlive the reporter.
@@ -26,9 +35,7 @@
     std::error_code open(const Endpoint& localEndpoint);
 
     /// Sets the recipients of reports.
-    /// @param localPeers entry hosts in the data centre of this host.
-    /// @param remotePeers entry hosts in other data centres.
-    void setPeers(std::vector<Endpoint> localPeers, std::vector<Endpoint> remotePeers);
+    void setPeers(LoadReportPeers peers) { m_peers = std::move(peers); }
 
     /// Sends a report as soon as the pacing of the link allows; call it whenever the load may have changed.
     void scheduleReport();
@@ -44,19 +51,25 @@
 private:
     void receive();
     void send();
+    /// Sends the report to those of the peers that are due, with the evidence of the interval between two reports to
+    /// the same host.
+    /// @param[in,out] interval time between two reports to the same host.
+    void sendInRotation(ReportRotation& rotation, std::span<const Endpoint> peers, Duration& interval,
+        schema::TargetLoadReport& report);
     void sendTo(std::span<const Endpoint> peers, schema::TargetLoadReport& report, Duration interval);
 
     EventLoop& m_loop;
     CookieSteering& m_steering;
     UdpSocket m_socket;
     std::unique_ptr<ReadWatch> m_watch;
-    std::vector<Endpoint> m_localPeers;
-    std::vector<Endpoint> m_remotePeers;
+    LoadReportPeers m_peers;
     LoadReportPacer m_pacer;
+    ReportRotation m_localRotation;
     ReportRotation m_remoteRotation;
     /// Last reported load, serialized without the sequence number so that it can be compared.
     std::string m_reportedLoad;
-    TimePoint m_lastLocalReport;
+    TimePoint m_lastGroupReport;
+    Duration m_localReportInterval { 0 };
     Duration m_remoteReportInterval { 0 };
     std::uint64_t m_malformedReports = 0;
     bool m_isScheduled = false;
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -42,6 +42,9 @@
     /// second), from all entry hosts together in any second. There is no limit if both are zero.
     double slowStartFactor = 0;
     double slowStartAllowance = 0;
+    /// Approximate number of entry hosts that share a group of targets; zero for no groups.
+    /// docs/design/target_groups.md.
+    std::size_t hostsPerGroup = 0;
     /// Interval between heartbeats of a target.
     Duration targetHeartbeat { 1200 };
 };
@@ -221,6 +224,10 @@
     /// refreshView().
     void setEntryHosts(std::vector<EntryHostLocation> hosts);
 
+    /// @return true if another entry host is in the group of this one, so that both report their load to each other
+    /// at short intervals; also if there are no groups and it is in the same data centre.
+    bool isGroupMember(const EntryHostLocation& host) const;
+
     /// Records a response of a control host that is in contact with a majority.
     void refreshView(TimePoint now);
 
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -5,6 +5,7 @@
 #include "cookie/first_packet_steering.h"
 #include "cookie/slow_start_limit.h"
 #include "cookie/steering_decisions.h"
+#include "cookie/target_groups.h"
 
 #include <algorithm>
 #include <xxhash.h>
@@ -39,6 +40,7 @@
         , pool(options.targetNumberOf)
         , flows(options.flowCapacity)
         , placement({}, options.host, options.dataCentre)
+        , groups(options.host, options.dataCentre, options.hostsPerGroup, pool)
         , reachability(pool, options.dataCentre)
         , slowStartLimit(
               { options.host, options.slowStartFactor, options.slowStartAllowance, options.targetHeartbeat }, pool)
@@ -48,6 +50,7 @@
     {
         flows.setObserver(&slowStartLimit);
         placement.setSlowStartLimit(&slowStartLimit);
+        placement.setTargetGroups(&groups);
         updateOverload();
         if (!options.learnCapacity)
             return;
@@ -74,6 +77,7 @@
     TargetPool pool;
     FlowTable flows;
     Placement placement;
+    TargetGroups groups;
     ReachabilityMonitor reachability;
     SlowStartLimit slowStartLimit;
     SteeringCounters counters;
@@ -101,6 +105,7 @@
 
 SteeringDecision CookieSteering::Implementation::place(const FlowPacket& packet, TimePoint now)
 {
+    groups.refresh();
     SteeringDecision decision = firstPackets.handle(packet, now);
     if (decision.action == SteeringAction::Reset)
         admission.forget(packet.flow);
@@ -230,9 +235,16 @@
 
 void CookieSteering::setEntryHosts(std::vector<EntryHostLocation> hosts)
 {
+    m_implementation->groups.setEntryHosts(hosts);
     m_implementation->slowStartLimit.setEntryHosts(std::move(hosts));
 }
 
+bool CookieSteering::isGroupMember(const EntryHostLocation& host) const
+{
+    const TargetGroups& groups = m_implementation->groups;
+    return groups.isActive() ? groups.isMember(host.host) : host.dataCentre == m_implementation->options.dataCentre;
+}
+
 void CookieSteering::refreshView(TimePoint now) { m_implementation->slowStartLimit.refreshView(now); }
 
 void CookieSteering::setRegistryLoaded(bool isLoaded) { m_implementation->firstPackets.setRegistryLoaded(isLoaded); }
@@ -240,10 +252,12 @@
 void CookieSteering::updateTarget(const RegisteredTarget& target, TimePoint now)
 {
     m_implementation->pool.update(target, now);
+    m_implementation->groups.noteTargetChange();
 }
 
 bool CookieSteering::setStoppedDataCentres(const schema::StoppedDataCentres& list, TimePoint now)
 {
+    m_implementation->groups.noteTargetChange();
     return m_implementation->pool.setStoppedDataCentres(list, now);
 }
 
@@ -265,6 +279,7 @@
     FlowPacket packet;
     packet.flow = flow;
     packet.syn = true;
+    m_implementation->groups.refresh();
     const FirstPacketSteering& firstPackets = m_implementation->firstPackets;
     schema::PlacementExplanation explanation = firstPackets.explain(packet, now);
     explanation.set_host(m_implementation->options.host);
--- a/src/libbergamot/cookie/placement.cpp
+++ b/src/libbergamot/cookie/placement.cpp
@@ -1,6 +1,7 @@
 #include "cookie/placement.h"
 
 #include "cookie/slow_start_limit.h"
+#include "cookie/target_groups.h"
 
 #include <algorithm>
 #include <xxhash.h>
@@ -25,6 +26,8 @@
 {
 }
 
+bool Placement::hasGroups() const { return m_targetGroups && m_targetGroups->isActive(); }
+
 double Placement::spreadOf(const PooledTarget& target) const
 {
     return uniformHash(target.number, m_seed) * m_options.spreadCost;
@@ -43,7 +46,7 @@
     }
     const double disturbedShare
         = static_cast<double>(disturbedCount) / static_cast<double>(std::max<std::size_t>(1, localCount + remoteCount));
-    if (disturbedShare < m_options.disturbedShare)
+    if (disturbedShare < m_options.disturbedShare && !hasGroups())
         return {};
     // A host without a local target, as during an evacuation, compares as many of the others.
     if (localCount == 0)
@@ -95,11 +98,13 @@
         cost.slowStart = load * (m_options.slowStartFactor - 1) + m_options.slowStartCost;
     if (!isLocal(target))
         cost.remote = m_options.remoteCost;
+    if (hasGroups() && !target.isInGroup)
+        cost.otherGroup = m_options.otherGroupCost;
     if (target.silent)
         cost.silent = m_options.silentCost;
     if (isAvoided(target, now) || target.isAtLimit())
         cost.avoided = m_options.avoidCost;
-    cost.total = load + cost.slowStart + cost.remote + cost.silent + cost.avoided;
+    cost.total = load + cost.slowStart + cost.remote + cost.otherGroup + cost.silent + cost.avoided;
     return cost;
 }
 
@@ -123,7 +128,9 @@
             continue;
         }
         TargetCost cost = costOf(*target, minRemoteIdleLoad, isLimited, now);
-        if (uniformHash(target->number, flowHash) >= (isLocal(*target) ? shares.local : shares.remote))
+        const double share = isLocal(*target) ? shares.local : shares.remote;
+        const bool isInGroup = hasGroups() && target->isInGroup;
+        if (!isInGroup && uniformHash(target->number, flowHash) >= share)
             cost.unsampled = m_options.unsampledCost;
         if (excluded && now - target->reachability.lastResponse() >= m_options.provenFor)
             cost.unproven = m_options.unprovenCost;
--- a/src/libbergamot/cookie/placement.h
+++ b/src/libbergamot/cookie/placement.h
@@ -12,6 +12,7 @@
 namespace bergamotroute {
 
 class SlowStartLimit;
+class TargetGroups;
 
 /// Weights of the cost of a target. The unit of cost is one outstanding request per slot.
 struct PlacementOptions {
@@ -19,6 +20,9 @@
     double idleFlowRequests = 0.04;
     /// Extra cost of a target in another data centre: the spillover threshold that limits traffic between data centres.
     double remoteCost = 0.6;
+    /// Extra cost of a target of another group, and of another data centre in addition to remoteCost while there are
+    /// groups: reports of these hosts are old, so their targets are used only if those of the group are busy.
+    double otherGroupCost = 0.5;
     /// Maximum of the extra cost that differs between entry hosts, so that they do not all choose the same one of
     /// several targets of equal load.
     double spreadCost = 0.3;
@@ -56,6 +60,7 @@
     double spread = 0;
     double slowStart = 0;
     double remote = 0;
+    double otherGroup = 0;
     double silent = 0;
     /// Avoided, unreachable or at its limit.
     double avoided = 0;
@@ -93,6 +98,9 @@
     /// Sets the limit on targets in slow start, which must outlive the object; null for none.
     void setSlowStartLimit(SlowStartLimit* limit) { m_slowStartLimit = limit; }
 
+    /// Sets the groups of targets, which must outlive the object; null for none.
+    void setTargetGroups(const TargetGroups* groups) { m_targetGroups = groups; }
+
     /// @param excluded the target that did not answer the flow's first packet, to be chosen only if there is no other;
     /// null for a new flow.
     /// @param flowHash chooses the targets that the flow compares while the service is disturbed.
@@ -106,9 +114,11 @@
         double remote = 1;
     };
 
+    bool hasGroups() const;
     bool isLocal(const PooledTarget& target) const { return target.dataCentre == m_dataCentre; }
     double spreadOf(const PooledTarget& target) const;
-    /// @return probabilities with which a flow compares a target; 1 unless the service is disturbed.
+    /// @return probabilities with which a flow compares a target; 1 unless the service is disturbed or there are
+    /// groups. Those of the local data centre do not concern targets of the own group.
     SampleShares sampleShares(const std::vector<PooledTarget*>& targets) const;
     bool isAvoided(const PooledTarget& target, TimePoint now) const;
     /// @return expected requests per slot from idle open flows.
@@ -122,6 +132,7 @@
     std::string m_dataCentre;
     std::uint64_t m_seed;
     SlowStartLimit* m_slowStartLimit = nullptr;
+    const TargetGroups* m_targetGroups = nullptr;
 };
 
 }
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -42,6 +42,8 @@
     bool silent = false;
     /// Another target has the same cookie and takes precedence; this one gets no flows until that one is gone.
     bool cookieTaken = false;
+    /// The target belongs to this host's group; see TargetGroups.
+    bool isInGroup = false;
     /// Operators have stopped the target's data centre; its open flows continue.
     bool dataCentreStopped = false;
     std::uint64_t startTimeMs = 0;
