--- a/src/bergamot-entry/entry_metrics.cpp
+++ b/src/bergamot-entry/entry_metrics.cpp
@@ -76,6 +76,9 @@
         "Flows refused because no target of the service accepted them under the limit on targets in slow start.",
         static_cast<double>(counters.slowStartLimited));
     const SlowStartStatus slowStart = m_steering.slowStartStatus(m_loop.now());
+    add("group_hosts", "Entry hosts in the group of this host, this one included; zero if there are no groups.",
+        static_cast<double>(m_steering.targetGroup().hosts));
+    add("group_targets", "Targets in the group of this host.", static_cast<double>(m_steering.targetGroup().targets));
     add("targets_slow_start", "Targets in slow start of services with a limit in slow start.",
         static_cast<double>(slowStart.targets));
     add("targets_slow_start_owned", "Targets in slow start on which this host, and no other, places flows.",
--- a/src/bergamotctl/target_commands.cpp
+++ b/src/bergamotctl/target_commands.cpp
@@ -40,6 +40,7 @@
         addPart(text, "spread", state.spread());
         addPart(text, "slow-start", state.slow_start());
         addPart(text, "other-data-centre", state.other_data_centre());
+        addPart(text, "other-group", state.other_group());
         addPart(text, "silent", state.silent());
         addPart(text, "avoided", state.avoided());
         addPart(text, "not-compared", state.not_compared());
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -140,6 +140,13 @@
     std::uint32_t openFlows = 0;
 };
 
+/// Group of entry hosts and targets that this host belongs to; zeros if there are no groups.
+struct TargetGroupStatus {
+    /// Entry hosts of the group, this one included, and targets of the group.
+    std::size_t hosts = 0;
+    std::size_t targets = 0;
+};
+
 /// Counters since the start of the process.
 struct SteeringCounters {
     std::uint64_t firstPackets = 0;
@@ -286,6 +293,7 @@
     const Route* findRoute(std::uint32_t address, std::uint16_t port) const;
 
     const SteeringCounters& counters() const;
+    TargetGroupStatus targetGroup() const;
     SlowStartStatus slowStartStatus(TimePoint now) const;
     AdmissionMetrics admissionMetrics() const;
     std::size_t flowCount() const;
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -402,6 +402,8 @@
 
 const SteeringCounters& CookieSteering::counters() const { return m_implementation->counters; }
 
+TargetGroupStatus CookieSteering::targetGroup() const { return m_implementation->groups.status(); }
+
 SlowStartStatus CookieSteering::slowStartStatus(TimePoint now) const
 {
     return m_implementation->slowStartLimit.status(now);
--- a/src/libbergamot/cookie/first_packet_steering.cpp
+++ b/src/libbergamot/cookie/first_packet_steering.cpp
@@ -38,6 +38,7 @@
         state.set_spread(cost.spread);
         state.set_slow_start(cost.slowStart);
         state.set_other_data_centre(cost.remote);
+        state.set_other_group(cost.otherGroup);
         state.set_silent(cost.silent);
         state.set_avoided(cost.avoided);
         state.set_not_compared(cost.unsampled);
--- a/src/libbergamot/cookie/target_groups.cpp
+++ b/src/libbergamot/cookie/target_groups.cpp
@@ -53,6 +53,15 @@
         targets[i]->isInGroup = i * parts / targets.size() == own;
 }
 
+TargetGroupStatus TargetGroups::status() const
+{
+    if (!isActive())
+        return {};
+    const auto targets = std::count_if(
+        m_pool.all().begin(), m_pool.all().end(), [](const auto& item) { return item.second->isInGroup; });
+    return { m_members.size() + 1, static_cast<std::size_t>(targets) };
+}
+
 void TargetGroups::refresh()
 {
     if (!std::exchange(m_isStale, false) || m_hostsPerGroup == 0)
--- a/src/libbergamot/cookie/target_groups.h
+++ b/src/libbergamot/cookie/target_groups.h
@@ -41,6 +41,8 @@
     /// @return true if there are at least two groups.
     bool isActive() const { return m_groupCount > 1; }
 
+    TargetGroupStatus status() const;
+
     /// @return true if another entry host is in the group of this one.
     bool isMember(const std::string& host) const { return m_members.contains(host); }
 
--- /dev/null
+++ b/src/libbergamot/cookie/target_groups_test.cpp
@@ -0,0 +1,184 @@
+/// @file
+/// Guards against entry hosts that disagree on the groups of targets, groups of uneven size, and groups that change
+/// more than needed when hosts or targets come and go: each makes hosts place flows on targets whose load they do not
+/// know.
+
+#include "cookie/target_groups.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <memory>
+
+using namespace bergamotroute;
+
+namespace {
+
+constexpr std::size_t hostsPerGroup = 4;
+
+std::uint64_t parseTargetNumber(std::string_view id) { return std::stoull(std::string(id.substr(2)), nullptr, 16); }
+
+std::string hostName(int index) { return "entry-" + std::to_string(100 + index); }
+
+RegisteredTarget makeTarget(int number, const std::string& service, const std::string& dataCentre)
+{
+    RegisteredTarget target;
+    std::array<char, 16> id {};
+    std::snprintf(id.data(), id.size(), "i-%x", 0x1000 + number);
+    target.record.set_id(id.data());
+    target.record.set_service(service);
+    target.record.set_endpoint("10.0.0.1:" + std::to_string(number));
+    target.record.set_data_centre(dataCentre);
+    target.record.set_slots(2);
+    target.record.set_born_ms(1);
+    return target;
+}
+
+/// What one entry host knows.
+struct Host {
+    explicit Host(const std::string& name)
+        : groups(name, "a", hostsPerGroup, pool)
+    {
+    }
+
+    std::vector<std::string> ownTargets(const std::string& service)
+    {
+        groups.refresh();
+        std::vector<std::string> own;
+        for (const PooledTarget* target : pool.targetsOf(service)) {
+            if (target->isInGroup)
+                own.push_back(target->id);
+        }
+        std::sort(own.begin(), own.end());
+        return own;
+    }
+
+    TargetPool pool { parseTargetNumber };
+    TargetGroups groups;
+};
+
+struct Fixture {
+    ManualClock clock;
+    std::map<std::string, std::unique_ptr<Host>> hosts;
+
+    void setHosts(int count)
+    {
+        std::vector<EntryHostLocation> list;
+        for (int i = 0; i < count; ++i)
+            list.push_back({ hostName(i), "a" });
+        for (int i = 0; i < count; ++i)
+            list.push_back({ "other-" + std::to_string(i), "b" });
+        for (int i = 0; i < count; ++i) {
+            auto& host = hosts[hostName(i)];
+            if (!host)
+                host = std::make_unique<Host>(hostName(i));
+            host->groups.setEntryHosts(list);
+        }
+    }
+
+    void addTarget(int number, const std::string& service = "orders", const std::string& dataCentre = "a")
+    {
+        for (auto& [name, host] : hosts) {
+            host->pool.update(makeTarget(number, service, dataCentre), clock.now());
+            host->groups.noteTargetChange();
+        }
+    }
+
+    void removeTarget(int number)
+    {
+        RegisteredTarget target = makeTarget(number, "orders", "a");
+        target.record.set_phase(schema::TARGET_GONE);
+        for (auto& [name, host] : hosts) {
+            host->pool.update(target, clock.now());
+            host->groups.noteTargetChange();
+        }
+    }
+
+    /// @return for each target the hosts in whose group it is.
+    std::map<std::string, std::vector<std::string>> hostsOfTargets(const std::string& service = "orders")
+    {
+        std::map<std::string, std::vector<std::string>> result;
+        for (auto& [name, host] : hosts) {
+            for (const std::string& target : host->ownTargets(service))
+                result[target].push_back(name);
+        }
+        return result;
+    }
+};
+
+}
+
+TEST_CASE_FIXTURE(Fixture, "28 hosts divide 40 targets evenly, and all hosts of a group agree on it")
+{
+    setHosts(28);
+    for (int i = 0; i < 40; ++i)
+        addTarget(i);
+    for (int i = 0; i < 40; ++i)
+        addTarget(1000 + i, "orders", "b");
+    const auto owners = hostsOfTargets();
+    CHECK(owners.size() == 40);
+    for (const auto& [target, names] : owners) {
+        CHECK(names.size() == hostsPerGroup);
+        for (const std::string& name : names) {
+            for (const std::string& other : names)
+                CHECK((name == other || hosts[name]->groups.isMember(other)));
+        }
+    }
+    for (auto& [name, host] : hosts) {
+        CHECK(host->groups.isActive());
+        const std::size_t count = host->ownTargets("orders").size();
+        CHECK(count >= 40 / 7);
+        CHECK(count <= 40 / 7 + 1);
+        CHECK_FALSE(host->groups.isMember(name));
+        CHECK_FALSE(host->groups.isMember("other-1"));
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a target that leaves or comes moves at most one other target at each border of two groups")
+{
+    setHosts(28);
+    for (int i = 0; i < 40; ++i)
+        addTarget(i);
+    const auto before = hostsOfTargets();
+    removeTarget(17);
+    int moved = 0;
+    for (const auto& [target, names] : hostsOfTargets())
+        moved += before.at(target) != names ? 1 : 0;
+    CHECK(moved <= 6);
+    addTarget(41);
+    CHECK(hostsOfTargets().size() == 40);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a service with fewer targets than groups leaves no group without targets")
+{
+    setHosts(28);
+    for (int i = 0; i < 5; ++i)
+        addTarget(i);
+    addTarget(50, "manifests");
+    for (auto& [name, host] : hosts) {
+        CHECK(host->ownTargets("orders").size() >= 2);
+        CHECK(host->ownTargets("manifests").size() == 1);
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "hosts that leave dissolve or merge groups, and a single group is none")
+{
+    setHosts(28);
+    for (int i = 0; i < 40; ++i)
+        addTarget(i);
+    setHosts(9);
+    hosts.erase(hosts.find(hostName(9)), hosts.end());
+    for (const auto& [target, names] : hostsOfTargets())
+        CHECK(names.size() >= hostsPerGroup);
+    setHosts(7);
+    CHECK_FALSE(hosts[hostName(0)]->groups.isActive());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a host that is not listed yet has no group")
+{
+    setHosts(28);
+    Host fresh("entry-new");
+    fresh.groups.setEntryHosts({ { hostName(0), "a" }, { hostName(1), "a" } });
+    CHECK_FALSE(fresh.groups.isActive());
+    CHECK_FALSE(fresh.groups.isMember(hostName(0)));
+}
