List forwarded first packets to the owners when a service becomes limited

Cause: when a service becomes limited, owners decide first packets of settled buckets too, but table acknowledgements listed recent flows of moved buckets only.

Change: until the version with the limit mark is active, acknowledgements also list the recent flows of settled buckets, to the owner and the backup of each bucket.

Ruled out: the silent drop of 3 s after activation. It was kept, but repeats of a first packet arrive until 7 s after the first one.

--- a/src/libbergamot/steering/table_distribution.cpp
+++ b/src/libbergamot/steering/table_distribution.cpp
@@ -88,9 +88,13 @@
 void TableDistribution::addRecentFlows(ServiceIndex serviceIndex, HostIndex peer, std::vector<RecentFlow>& flows) const
 {
     const ServiceTable& table = m_state.tables[serviceIndex];
+    // Once a service is limited, owners also decide first packets of settled buckets. Without the flows that other
+    // hosts forwarded before, an owner would refuse a repeated first packet that a backend server has already seen.
+    const bool isNewlyLimited = table.limitedSince > table.activeVersion;
     m_state.recent.forEach(table.appliedAt - recentTime, table.appliedAt, [&](const RecentFlow& flow) {
         const std::uint32_t bucket = bucketOf(flow.flow, m_state.bucketCount());
-        if (flow.service == serviceIndex && table.table.buckets[bucket].moved && holdsBucket(table, peer, bucket))
+        const bool ownerDecides = isNewlyLimited || table.table.buckets[bucket].moved;
+        if (flow.service == serviceIndex && ownerDecides && holdsBucket(table, peer, bucket))
             flows.push_back(flow);
     });
 }
