Keep the flows of a target whose announcements are lost while it reports open connections

Cause: a target counted as gone when its lease and quarantine had ended, about 16 s after its last announcement.

Change: the end of a lease counts as the start of a drain if the fresh load reports of the target show open connections, the target has not announced that it is gone and no other target has a lease on its address. It gets no new flows, and its drain deadline applies.

Ruled out: a longer quarantine, which delays the fault only; a healthy state alone, because unknown targets count as healthy.

The test of a lease that ends without load reports is unchanged.

--- a/src/include/bergamotroute/target_manager.h
+++ b/src/include/bergamotroute/target_manager.h
@@ -34,7 +34,7 @@
     bool acceptsNewFlows = false;
     /// The target is out of use and its flows are over: it was removed by an operator, its service is not
     /// configured, it drained until it had no open connections or reached its drain deadline, or its lease and
-    /// quarantine have ended.
+    /// quarantine have ended and no fresh load report of it shows an open connection.
     bool gone = false;
 };
 
--- a/src/libbergamot/targets/load_estimator.cpp
+++ b/src/libbergamot/targets/load_estimator.cpp
@@ -223,6 +223,12 @@
     return found != m_loads.end() && found->second.hasReportedConnections;
 }
 
+bool LoadEstimator::reportsOpenConnections(TargetId target, TimePoint now) const
+{
+    const std::optional<Duration> reportAge = age(target, now);
+    return reportAge && *reportAge <= freshAge && m_loads.at(target).report.open_connections() > 0;
+}
+
 bool LoadEstimator::isEmpty(TargetId target, TimePoint now) const
 {
     const std::optional<Duration> reportAge = age(target, now);
--- a/src/libbergamot/targets/load_estimator.h
+++ b/src/libbergamot/targets/load_estimator.h
@@ -69,6 +69,9 @@
     /// first of these arrived at least 3 s ago.
     bool isEmpty(TargetId target, TimePoint now) const;
 
+    /// @return true if the latest report is fresh and shows an open connection.
+    bool reportsOpenConnections(TargetId target, TimePoint now) const;
+
     /// @return true if any report of the target has shown an open connection.
     bool hasReportedConnections(TargetId target) const;
 
--- a/src/libbergamot/targets/target_manager_test.cpp
+++ b/src/libbergamot/targets/target_manager_test.cpp
@@ -149,6 +149,48 @@
     CHECK(host.isGone(id));
 }
 
+// Guards against established flows that break when the announcements of a living backend server are lost, and against
+// packets to an address that meanwhile belongs to another service.
+TEST_CASE("a target whose lease has ended stays while it reports open connections and its address is not taken")
+{
+    Host host;
+    const TargetId id = idOf("ordering", "10.0.0.1");
+    REQUIRE(host.announce(announcementOf("ordering", "10.0.0.1")) == ResultCode::Ok);
+    const auto runReporting = [&host, id](int seconds, std::uint32_t open) {
+        for (int second = 0; second < seconds; ++second) {
+            schema::LoadReport load;
+            load.set_open_connections(open);
+            load.set_time_ms(host.clock.wallMilliseconds());
+            host.manager->handleLoadReport(id, load, host.clock.now());
+            host.advanceClock(Duration(1'000));
+        }
+    };
+    runReporting(30, 5);
+    CHECK_FALSE(host.accepts(id));
+    CHECK_FALSE(host.isGone(id));
+    SUBCASE("its connections end")
+    {
+        runReporting(5, 0);
+        CHECK(host.isGone(id));
+    }
+    SUBCASE("its reports end")
+    {
+        host.advanceClock(Duration(6'000));
+        CHECK(host.isGone(id));
+    }
+    SUBCASE("its address is taken")
+    {
+        REQUIRE(host.announce(announcementOf("manifests", "10.0.0.1")) == ResultCode::Ok);
+        runReporting(1, 5);
+        CHECK(host.isGone(id));
+    }
+    SUBCASE("the drain deadline has passed since the end of its lease")
+    {
+        runReporting(40, 5);
+        CHECK(host.isGone(id));
+    }
+}
+
 // Guards against a lease that is renewed only on the host that gets the announcements.
 TEST_CASE("if only one host gets the announcements, its heartbeats renew the lease on the other host")
 {
--- a/src/libbergamot/targets/target_state.cpp
+++ b/src/libbergamot/targets/target_state.cpp
@@ -31,6 +31,15 @@
         return since;
     }
 
+    /// A target whose announcements are lost, for example because all entry hosts of its data centre are dead, may
+    /// still serve its flows. Its own fresh load reports prove it.
+    bool isServingWithoutLease(
+        const TargetRecord& record, const TargetStore& store, const LoadEstimator& load, TimePoint now)
+    {
+        const bool isReleased = record.announcement.state() == schema::GONE || store.isAddressTaken(record, now);
+        return !isReleased && load.reportsOpenConnections(record.info.id, now);
+    }
+
     const char* stateName(const TargetRecord& record, bool healthy, TimePoint now)
     {
         if (record.adminState == schema::BACKEND_REMOVED)
@@ -52,9 +61,12 @@
     const NewFlowCounter& newFlows, TimePoint now)
 {
     const schema::Service* service = store.service(record.info.service);
-    if (service == nullptr || record.adminState == schema::BACKEND_REMOVED || store.claimEnd(record) <= now)
+    if (service == nullptr || record.adminState == schema::BACKEND_REMOVED)
+        return true;
+    const bool isClaimEnded = store.claimEnd(record) <= now;
+    if (isClaimEnded && !isServingWithoutLease(record, store, load, now))
         return true;
-    const TimePoint since = drainingSince(record);
+    const TimePoint since = isClaimEnded ? std::min(drainingSince(record), record.leaseEnd) : drainingSince(record);
     if (since == noDeadline || since + minDrainTime > now)
         return false;
     if (since + drainDeadline(*service) <= now)
--- a/src/libbergamot/targets/target_store.cpp
+++ b/src/libbergamot/targets/target_store.cpp
@@ -281,6 +281,15 @@
     record.weightPercent = overridden ? found->second.weight_percent() : 100;
 }
 
+bool TargetStore::isAddressTaken(const TargetRecord& record, TimePoint now) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto& item) {
+        const TargetRecord& other = item.second;
+        return item.first != record.info.id && other.info.endpoint.address == record.info.endpoint.address
+            && other.hasLease(now);
+    });
+}
+
 void TargetStore::expire(TimePoint now)
 {
     std::erase_if(m_records, [this, now](const auto& item) {
--- a/src/libbergamot/targets/target_store.h
+++ b/src/libbergamot/targets/target_store.h
@@ -100,6 +100,9 @@
     /// @return end of the time for which the target's service has a claim on its address.
     TimePoint claimEnd(const TargetRecord& record) const { return record.leaseEnd + m_quarantine; }
 
+    /// @return true if another target has a lease on the address of the target.
+    bool isAddressTaken(const TargetRecord& record, TimePoint now) const;
+
     std::map<TargetId, TargetRecord>& records() { return m_records; }
     const std::map<TargetId, TargetRecord>& records() const { return m_records; }
 
