Collect flow records from the caches of living hosts when owner and backup die together

Cause: a record is held by the owner and the backup of its bucket. When both are gone at once, the new owner sent the packets of recorded flows to the base target.

Until all end markers have arrived, for at most 5 s, the new owner drops packets of unknown flows in these moved buckets instead of sending them to the base target.

Ruled out: the fabric and late messages; the traces show the packets at the new owner, without a record, after the view change.

A flow that no living host has seen or had a hint of still goes to the base target.

--- a/src/libbergamot/entry/entry_host_test.cpp
+++ b/src/libbergamot/entry/entry_host_test.cpp
@@ -98,6 +98,24 @@
     }
 }
 
+// Guards against the loss of flow records when owner and backup of a bucket die together, although other hosts know the
+// targets of the flows.
+TEST_CASE("two entry hosts that die at once during a move of buckets break no flow that other hosts have seen")
+{
+    for (std::size_t victim = 0; victim + 1 < hostCount; ++victim) {
+        GroupFixture group(hostCount, victim + 1);
+        warmUp(group);
+        group.setState(*group.backends.at("10.1.0.1"), schema::DRAINING);
+        group.run(Duration(2000), flowRate);
+        group.run(Duration(10'000));
+        group.killHost(victim);
+        group.killHost(victim + 1);
+        group.run(Duration(15'000));
+        CHECK(group.countReady() == hostCount - 2);
+        checkNoBrokenFlows(group);
+    }
+}
+
 // Guards against a joining host that decides for buckets before it has their flow records.
 TEST_CASE("an entry host that joins during a move of buckets breaks no flow")
 {
--- a/src/libbergamot/steering/owner_decisions.cpp
+++ b/src/libbergamot/steering/owner_decisions.cpp
@@ -18,6 +18,9 @@
     /// An isolated host forwards packets of unknown flows that are not first packets to the base target only after this
     /// long without a majority; then the flow counts as one that was opened under the table.
     constexpr Duration longIsolation { 10'000 };
+    /// When a bucket has lost its owner and its backup, the new owner drops packets of unknown flows for at most this
+    /// long while it collects entries from the other hosts. A caller repeats such a packet several times in that time.
+    constexpr Duration maxCollectionTime { 5'000 };
 
 }
 
@@ -63,6 +66,8 @@
     const Bucket& bucket = table.table.buckets[packet.bucket];
     const bool isActiveMove = bucket.moved && table.isActive(packet.bucket);
     const bool isNewFlow = packet.isFirst() || (packet.isUdp() && (isActiveMove || table.table.limited));
+    if (!packet.isFirst() && bucket.moved && isCollecting(table, packet.bucket, now))
+        return drop(ResultCode::NotReady);
     if (!isNewFlow)
         return forwardToBase(packet, table, now);
     const AdmissionVerdict verdict = admit(packet, table, now);
@@ -75,6 +80,11 @@
     return recordNew(packet, table, isActiveMove ? bucket.current : bucket.base, now);
 }
 
+bool PacketPath::isCollecting(const ServiceTable& table, std::uint32_t bucket, TimePoint now) const
+{
+    return m_state.areHoldersLost(table, bucket) && now - m_state.viewChangingSince < maxCollectionTime;
+}
+
 ResultCode PacketPath::forwardToBase(const SteeredPacket& packet, const ServiceTable& table, TimePoint now)
 {
     const Bucket& bucket = table.table.buckets[packet.bucket];
--- a/src/libbergamot/steering/packet_path.h
+++ b/src/libbergamot/steering/packet_path.h
@@ -68,6 +68,9 @@
     ResultCode decideRecorded(const SteeredPacket& packet, const ServiceTable& table, FlowEntry& entry, TimePoint now);
     ResultCode decideNew(const SteeredPacket& packet, const ServiceTable& table, TimePoint now);
     ResultCode recordNew(const SteeredPacket& packet, const ServiceTable& table, TargetId target, TimePoint now);
+    /// @return true while this owner waits for the other hosts' entries of a bucket that has lost its owner and its
+    /// backup, so that the target of an unknown flow is not certain yet.
+    bool isCollecting(const ServiceTable& table, std::uint32_t bucket, TimePoint now) const;
     ResultCode forwardToBase(const SteeredPacket& packet, const ServiceTable& table, TimePoint now);
     ResultCode sendThroughBackup(
         const SteeredPacket& packet, const ServiceTable& table, TargetId target, TimePoint now);
--- a/src/libbergamot/steering/record_transfer.cpp
+++ b/src/libbergamot/steering/record_transfer.cpp
@@ -7,6 +7,9 @@
     /// 30 records of about 30 bytes fit into a datagram that no network fragments.
     constexpr std::size_t recordsPerMessage = 30;
     constexpr Duration retransmitInterval { 400 };
+    /// Cached entries of other hosts than owner and backup are trusted for this long after the last packet of their
+    /// flow.
+    constexpr FlowTick survivingEntryTicks = 300;
     /// Chunk numbers start at the low bits of the incarnation, so that a late acknowledgement to an earlier incarnation
     /// does not match.
     constexpr std::uint32_t chunkMask = 0xffff;
@@ -64,7 +67,30 @@
     m_streams[host].queue.push_back({ 0, 0, prospective });
 }
 
-void RecordTransfer::handleViewChange(const std::vector<std::vector<BucketOwners>>& previous, HostMask readyBefore)
+void RecordTransfer::sendEntriesOfLostHolders(TimePoint now)
+{
+    m_state.cache.forEach([&](FlowEntry& entry) {
+        const ServiceTable* table = m_state.tableOf(entry.service);
+        const bool isUsable = !entry.has(FlowDivergent) && !entry.has(FlowClosing)
+            && flowTick(now) - entry.lastSeen <= survivingEntryTicks;
+        if (table == nullptr || !isUsable)
+            return;
+        const std::uint32_t bucket = bucketOf(entry.flow, m_state.bucketCount());
+        const bool isNeeded = entry.target != table->table.buckets[bucket].base;
+        if (!isNeeded || !m_state.areHoldersLost(*table, bucket))
+            return;
+        const BucketOwners& owners = table->owners[bucket];
+        if (owners.owner == m_state.self() || owners.backup == m_state.self()) {
+            entry.set(FlowRecorded);
+            m_state.cache.setPinned(entry, m_state.mustPin(entry));
+        }
+        enqueue(owners.owner, entry);
+        enqueue(owners.backup, entry);
+    });
+}
+
+void RecordTransfer::handleViewChange(
+    const std::vector<std::vector<BucketOwners>>& previous, HostMask readyBefore, TimePoint now)
 {
     const HostMask ready = m_state.membership.readyHosts();
     // A host that has just become ready received its records while it was joining.
@@ -88,6 +114,7 @@
                 enqueue(host, entry);
         }
     });
+    sendEntriesOfLostHolders(now);
     for (HostIndex host = 0; host < static_cast<HostIndex>(m_streams.size()); ++host) {
         if (host != m_state.self() && (ready & hostBit(host)) != 0)
             m_streams[host].queue.push_back({ 0, 0, ready });
--- a/src/libbergamot/steering/record_transfer.h
+++ b/src/libbergamot/steering/record_transfer.h
@@ -35,7 +35,7 @@
     /// hosts.
     /// @param previous owners in the previous view, by service index and bucket.
     /// @param readyBefore ready hosts in the previous view.
-    void handleViewChange(const std::vector<std::vector<BucketOwners>>& previous, HostMask readyBefore);
+    void handleViewChange(const std::vector<std::vector<BucketOwners>>& previous, HostMask readyBefore, TimePoint now);
 
     /// Converts the entries of flows that were assigned without quorum to records and queues them for their owners.
     void handOverDivergent();
@@ -75,6 +75,8 @@
     };
 
     bool shouldTransfer(const FlowEntry& entry) const;
+    /// Queues this host's cached entries of buckets that have lost owner and backup for their new owners and backups.
+    void sendEntriesOfLostHolders(TimePoint now);
     void enqueue(HostIndex host, const FlowEntry& entry);
     void prepareNextMessage(Stream& stream);
     void storeHint(const schema::FlowRecord& record, ServiceIndex serviceIndex, TimePoint now);
--- a/src/libbergamot/steering/service_table.h
+++ b/src/libbergamot/steering/service_table.h
@@ -41,9 +41,9 @@
     BucketTable table;
     /// Owners in the current view, by bucket.
     std::vector<BucketOwners> owners;
-    /// Owners in the last view that was complete: all hosts had adopted it and the previous owners had sent their
-    /// records.
-    std::vector<HostIndex> stableOwners;
+    /// Owners and backups in the last view that was complete: all hosts had adopted it and the previous owners had sent
+    /// their records.
+    std::vector<BucketOwners> stableOwners;
     /// Version in which each bucket last changed from settled to moved.
     std::vector<std::uint64_t> movedSince;
     std::vector<HostTableState> hosts;
--- a/src/libbergamot/steering/steering_state.cpp
+++ b/src/libbergamot/steering/steering_state.cpp
@@ -43,10 +43,17 @@
 
 HostIndex SteeringState::effectiveOwner(const ServiceTable& table, std::uint32_t bucket) const
 {
-    const HostIndex stable = table.stableOwners[bucket];
+    const HostIndex stable = table.stableOwners[bucket].owner;
     return viewChanging && isReadyOrLeaving(stable) ? stable : table.owners[bucket].owner;
 }
 
+bool SteeringState::areHoldersLost(const ServiceTable& table, std::uint32_t bucket) const
+{
+    const BucketOwners& stable = table.stableOwners[bucket];
+    return viewChanging && stable.owner != noHost && !isReadyOrLeaving(stable.owner)
+        && !isReadyOrLeaving(stable.backup);
+}
+
 ServiceTable* SteeringState::tableOf(ServiceIndex serviceIndex)
 {
     if (serviceIndex >= tables.size() || !tables[serviceIndex].exists())
--- a/src/libbergamot/steering/steering_state.h
+++ b/src/libbergamot/steering/steering_state.h
@@ -52,6 +52,8 @@
     SteeringCounters counters;
     /// The view is not complete: some host has not adopted it, or a previous owner has not sent all its records.
     bool viewChanging = false;
+    /// Time since which the view is not complete.
+    TimePoint viewChangingSince = TimePoint::min();
     /// Time since which this host is isolated, that is, hears no majority of the group; TimePoint::max() if it is not.
     TimePoint isolatedSince = TimePoint::max();
 
@@ -68,6 +70,10 @@
     /// complete view if that host is still ready or leaving.
     HostIndex effectiveOwner(const ServiceTable& table, std::uint32_t bucket) const;
 
+    /// @return true if the view changes and neither the owner nor the backup of the last complete view is ready or
+    /// leaving, so that the records of the bucket have to be collected from the caches of the other hosts.
+    bool areHoldersLost(const ServiceTable& table, std::uint32_t bucket) const;
+
     /// @return the table of a service, or a null pointer if there is none yet.
     ServiceTable* tableOf(ServiceIndex serviceIndex);
 
--- a/src/libbergamot/steering/table_distribution.cpp
+++ b/src/libbergamot/steering/table_distribution.cpp
@@ -29,7 +29,7 @@
         ServiceTable& table = m_state.tables[serviceIndex];
         table.hosts.resize(m_state.options.peers.size());
         table.owners.resize(m_state.bucketCount());
-        table.stableOwners.assign(m_state.bucketCount(), noHost);
+        table.stableOwners.resize(m_state.bucketCount());
         table.movedSince.resize(m_state.bucketCount());
         table.reportedClear.resize(m_state.bucketCount());
         table.reportedDivergent.resize(m_state.bucketCount());
@@ -37,7 +37,7 @@
         const HostMask ready = m_state.membership.readyHosts();
         for (std::uint32_t bucket = 0; bucket < m_state.bucketCount(); ++bucket) {
             table.owners[bucket] = m_state.ownership.rank(ready, table.table.service, bucket);
-            table.stableOwners[bucket] = table.owners[bucket].owner;
+            table.stableOwners[bucket] = table.owners[bucket];
         }
     }
 }
@@ -82,7 +82,7 @@
 bool TableDistribution::holdsBucket(const ServiceTable& table, HostIndex peer, std::uint32_t bucket) const
 {
     const BucketOwners& owners = table.owners[bucket];
-    return owners.owner == peer || owners.backup == peer || table.stableOwners[bucket] == peer;
+    return owners.owner == peer || owners.backup == peer || table.stableOwners[bucket].owner == peer;
 }
 
 void TableDistribution::addRecentFlows(ServiceIndex serviceIndex, HostIndex peer, std::vector<RecentFlow>& flows) const
--- a/src/libbergamot/steering/view_changes.cpp
+++ b/src/libbergamot/steering/view_changes.cpp
@@ -83,7 +83,7 @@
     }
 }
 
-void Steering::changeView(TimePoint)
+void Steering::changeView(TimePoint now)
 {
     const HostMask before = m_knownReady;
     m_knownReady = m_state.membership.readyHosts();
@@ -93,8 +93,10 @@
         for (std::uint32_t bucket = 0; bucket < table.owners.size(); ++bucket)
             table.owners[bucket] = m_state.ownership.rank(m_knownReady, table.table.service, bucket);
     }
+    if (!m_state.viewChanging)
+        m_state.viewChangingSince = now;
     m_state.viewChanging = true;
-    m_transfer.handleViewChange(previous, before);
+    m_transfer.handleViewChange(previous, before, now);
     for (HostIndex host = 0; host < static_cast<HostIndex>(m_knownStates.size()); ++host) {
         // The records that a joining host needs depend on the set of ready hosts, so they are queued again.
         if (m_knownStates[host] == schema::JOINING && host != m_state.self())
@@ -107,9 +109,11 @@
     HostMask awaited = 0;
     for (const ServiceTable& table : m_state.tables) {
         for (std::uint32_t bucket = 0; bucket < table.owners.size(); ++bucket) {
-            const HostIndex previous = table.stableOwners[bucket];
-            const bool isAwaited = table.owners[bucket].owner == m_state.self() && previous != m_state.self()
-                && m_state.isReadyOrLeaving(previous);
+            const bool isOwner = table.owners[bucket].owner == m_state.self();
+            if (isOwner && m_state.areHoldersLost(table, bucket))
+                awaited |= m_knownReady & ~hostBit(m_state.self());
+            const HostIndex previous = table.stableOwners[bucket].owner;
+            const bool isAwaited = isOwner && previous != m_state.self() && m_state.isReadyOrLeaving(previous);
             awaited |= isAwaited ? hostBit(previous) : 0;
         }
     }
@@ -126,7 +130,7 @@
         return;
     for (ServiceTable& table : m_state.tables) {
         for (std::uint32_t bucket = 0; bucket < table.owners.size(); ++bucket)
-            table.stableOwners[bucket] = table.owners[bucket].owner;
+            table.stableOwners[bucket] = table.owners[bucket];
     }
     m_state.viewChanging = false;
 }
