Keep idle feeds idle in the scenario runner

Cause: an idle feed (every=0s) did not stop the timer of its first packet. When it fired after 1 s, the feed sent a segment, and after each acknowledgement the next one without a pause. perf on fails_misleading_reports: over half of the time in the event queue, the rest in packets of these feeds.

Change: the timer stops when an idle feed is open. docs/SCENARIOS.md already describes it so.

No other scenario has idle feeds.

--- a/src/scenario/callers.cpp
+++ b/src/scenario/callers.cpp
@@ -50,6 +50,8 @@
     m_queue.after(delay, [this, id = flow.id, generation] { handleTimer(id, generation); });
 }
 
+void Callers::stopTimer(Flow& flow) { ++flow.timerGeneration; }
+
 void Callers::handleTimer(FlowId id, std::uint32_t generation)
 {
     Flow& flow = m_flows.at(id);
@@ -171,6 +173,8 @@
     sendSegment(flow, TcpAck, false);
     if (flow.intervalMs > 0)
         armTimer(flow, m_random.upTo(flow.intervalMs * microsecondsPerMillisecond));
+    else
+        stopTimer(flow);
 }
 
 void Callers::handleAcknowledgement(Flow& flow, const Reply& reply)
@@ -233,7 +237,7 @@
 void Callers::silence(Flow& flow)
 {
     flow.isSilent = true;
-    ++flow.timerGeneration;
+    stopTimer(flow);
     m_flows.traceEvent(flow.id, "goes silent");
 }
 
@@ -241,7 +245,7 @@
 {
     flow.phase = phase;
     flow.isAwaitingAcknowledgement = false;
-    ++flow.timerGeneration;
+    stopTimer(flow);
 }
 
 void Callers::fail(Flow& flow, const char* reason)
--- a/src/scenario/callers.h
+++ b/src/scenario/callers.h
@@ -45,6 +45,7 @@
 
 private:
     void armTimer(Flow& flow, SimTime delay);
+    void stopTimer(Flow& flow);
     void handleTimer(FlowId id, std::uint32_t generation);
     void sendSegment(Flow& flow, std::uint8_t flags, bool withPayload);
     void startSegment(Flow& flow, std::uint8_t flags);
