--- a/src/libbergamot/cookie/target_groups_test.cpp
+++ b/src/libbergamot/cookie/target_groups_test.cpp
@@ -3,6 +3,7 @@
 /// more than needed when hosts or targets come and go: each makes hosts place flows on targets whose load they do not
 /// know.
 
+#include "cookie/steering_deployment.h"
 #include "cookie/target_groups.h"
 
 #include <algorithm>
@@ -11,12 +12,24 @@
 #include <memory>
 
 using namespace bergamotroute;
+using namespace bergamotroute::deploymenttest;
 
 namespace {
 
 constexpr std::size_t hostsPerGroup = 4;
+/// Requests per second that use 65 % of the slots of 40 targets.
+constexpr double surgeRate = 1155;
 
-std::uint64_t parseTargetNumber(std::string_view id) { return std::stoull(std::string(id.substr(2)), nullptr, 16); }
+/// 28 hosts on small links: 2 % of the link suffice for a report to each host of the data centre in 0.65 s, or to each
+/// host of a group of four in 0.07 s.
+Setup makeSetup(bool hasGroups)
+{
+    Setup setup;
+    setup.queueCapacity = 4;
+    setup.groupReportInterval = Duration(hasGroups ? 70 : 650);
+    setup.hostsPerGroup = hasGroups ? hostsPerGroup : 0;
+    return setup;
+}
 
 std::string hostName(int index) { return "entry-" + std::to_string(100 + index); }
 
@@ -182,3 +195,73 @@
     CHECK_FALSE(fresh.groups.isActive());
     CHECK_FALSE(fresh.groups.isMember(hostName(0)));
 }
+
+TEST_CASE("in a surge that uses two thirds of the slots, targets refuse fewer than a third of the requests with groups")
+{
+    std::map<bool, Outcome> outcomes;
+    for (const bool hasGroups : { false, true }) {
+        Deployment deployment(makeSetup(hasGroups));
+        deployment.run(Duration(2000), surgeRate);
+        deployment.outcome = {};
+        deployment.run(Duration(6000), surgeRate);
+        outcomes[hasGroups] = deployment.outcome;
+    }
+    CHECK(outcomes[false].refused > 100);
+    CHECK(outcomes[true].refused <= outcomes[false].refused / 3);
+    CHECK(outcomes[true].late <= outcomes[false].late);
+}
+
+TEST_CASE("if all hosts of a group are killed in a surge, the others use its targets, before and after a new list")
+{
+    Deployment without(makeSetup(false));
+    Deployment deployment(makeSetup(true));
+    for (Deployment* each : { &without, &deployment }) {
+        each->run(Duration(2000), surgeRate);
+        int killed = 0;
+        for (int host = 1; host < 28 && killed < 3; ++host) {
+            const bool isMember = deployment.hosts[0]->isGroupMember(deployment.locationOf(host));
+            each->isRunning[host] = !isMember;
+            killed += isMember ? 1 : 0;
+        }
+        each->isRunning[0] = false;
+        each->outcome = {};
+        each->run(Duration(5000), surgeRate);
+        each->listHosts();
+        each->run(Duration(3000), surgeRate);
+    }
+    CHECK(without.outcome.refused > 100);
+    CHECK(deployment.outcome.refused <= without.outcome.refused / 3);
+    CHECK(deployment.outcome.late <= without.outcome.late);
+}
+
+TEST_CASE("if the targets of a group are slow, its hosts send most flows to other groups")
+{
+    Deployment deployment(makeSetup(true));
+    deployment.run(Duration(2000), surgeRate / 2);
+    // The targets of one group are neighbours in an order by hash.
+    std::vector<int> slow;
+    for (int target = 0; target < 40; ++target) {
+        FlowId flow { 0x64400001, serviceAddress, 4000, servicePort };
+        const auto explanation = deployment.hosts[0]->explainPlacement(flow, deployment.clock.now());
+        for (const schema::TargetCostState& state : explanation.targets()) {
+            if (state.target() == deployment.targets[target]->registered.record.id() && state.other_group() == 0)
+                slow.push_back(target);
+        }
+    }
+    REQUIRE(slow.size() >= 5);
+    for (const int target : slow)
+        deployment.setSlowdown(target, 1, 6);
+    deployment.run(Duration(2000), surgeRate / 2);
+    deployment.outcome = {};
+    const auto requests = [&] {
+        int sum = 0;
+        for (const int target : slow)
+            sum += deployment.targets[target]->requests;
+        return sum;
+    };
+    const int before = requests();
+    deployment.run(Duration(4000), surgeRate / 2);
+    const double fair = deployment.fairShare(Duration(4000), surgeRate / 2) * static_cast<double>(slow.size());
+    CHECK(requests() - before < fair / 2);
+    CHECK(deployment.outcome.refused <= 10);
+}
