Keep one comparison of sequence numbers

isAfter stood in bulk_flows, flow_table, flow_prober and tcp_connection. It is now in sequence_number.h, a public header because the stand-ins use it as well. Behaviour is unchanged.

--- a/src/libbergamot/admission/bulk_flows.cpp
+++ b/src/libbergamot/admission/bulk_flows.cpp
@@ -1,5 +1,7 @@
 #include "admission/bulk_flows.h"
 
+#include "bergamotroute/sequence_number.h"
+
 #include <algorithm>
 
 namespace bergamotroute {
@@ -28,8 +30,6 @@
     /// Clients give up a flow after 1.4 s if its first packet is not answered.
     constexpr Duration unestablishedTimeout { 2000 };
 
-    bool isAfter(std::uint32_t left, std::uint32_t right) { return static_cast<std::int32_t>(left - right) > 0; }
-
     void updateMean(double& mean, double value, bool isFirst)
     {
         mean = isFirst ? value : mean + (value - mean) * newestWeight;
--- a/src/libbergamot/cookie/flow_table.cpp
+++ b/src/libbergamot/cookie/flow_table.cpp
@@ -1,5 +1,7 @@
 #include "cookie/flow_table.h"
 
+#include "bergamotroute/sequence_number.h"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -22,9 +24,6 @@
     /// round trip.
     constexpr Duration openingTime { 300 };
 
-    /// @return true if the left sequence number is after the right one in modulo-2^32 order (RFC 9293, section 3.4).
-    bool isAfter(std::uint32_t left, std::uint32_t right) { return static_cast<std::int32_t>(left - right) > 0; }
-
     RequestTarget describe(const FlowId& flow, const PooledTarget& target, TimePoint now)
     {
         const std::uint64_t endpoint = (std::uint64_t { flow.serviceAddress } << 16) | flow.servicePort;
--- a/src/libbergamot/probing/flow_prober.cpp
+++ b/src/libbergamot/probing/flow_prober.cpp
@@ -2,6 +2,7 @@
 
 #include "bergamotroute/entry_host.h"
 #include "bergamotroute/packet_builder.h"
+#include "bergamotroute/sequence_number.h"
 #include "bergamotroute/types.h"
 
 #include <algorithm>
@@ -75,9 +76,6 @@
         return static_cast<std::uint32_t>(packet.payload.size()) + flags;
     }
 
-    /// @return true if sequence number a is after b, modulo 2^32.
-    bool isAfter(std::uint32_t a, std::uint32_t b) { return static_cast<std::int32_t>(a - b) > 0; }
-
 }
 
 /// Keeps the sequence numbers of the flows to probe, and one valid queue entry for each flow.
--- a/src/standins/common/tcp_connection.cpp
+++ b/src/standins/common/tcp_connection.cpp
@@ -1,5 +1,7 @@
 #include "standins/common/tcp_connection.h"
 
+#include "bergamotroute/sequence_number.h"
+
 #include <algorithm>
 
 namespace bergamotroute {
@@ -14,9 +16,6 @@
     /// About 25 s of silence with the times above.
     constexpr unsigned maxRetransmissions = 12;
 
-    /// @return true if sequence number a comes after b (RFC 9293, section 3.4).
-    bool isAfter(std::uint32_t a, std::uint32_t b) { return static_cast<std::int32_t>(a - b) > 0; }
-
     std::string_view textOf(std::span<const std::byte> bytes)
     {
         return { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
