Keep one conversion of flow addresses and of the link capacity

toEndpoint stood in packet_path and cookie_entry_daemon and is now in flow_endpoint. LoadReporter takes bytes per second as PacketPath does, so that only the daemon converts the setting from Mbit/s.

--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "bergamot-entry/cookie_entry_daemon.h"
 
+#include "bergamot-entry/flow_endpoint.h"
 #include "bergamotroute/evacuation.h"
 #include "bergamotroute/routing_record.h"
 #include "libbergamotio/log.h"
@@ -35,12 +36,9 @@
         return address + ':' + std::to_string(port);
     }
 
-    Endpoint toEndpoint(std::uint32_t address, std::uint16_t port)
+    double linkBytesPerSecond(const schema::CookieEntrySettings& settings)
     {
-        const std::array<std::uint8_t, 4> octets { static_cast<std::uint8_t>(address >> 24),
-            static_cast<std::uint8_t>(address >> 16), static_cast<std::uint8_t>(address >> 8),
-            static_cast<std::uint8_t>(address) };
-        return { IpAddress::fromV4(octets), port };
+        return settings.link_mbps() * bytesPerMegabit;
     }
 
     CookieSteeringOptions makeOptions(const schema::CookieEntrySettings& settings, TargetNumberFunction targetNumber)
@@ -50,7 +48,7 @@
         options.dataCentre = settings.data_centre();
         options.targetNumberOf = targetNumber;
         options.maxFlowAge = toDuration(settings.longest_flow_seconds());
-        options.linkBytesPerSecond = settings.link_mbps() * bytesPerMegabit;
+        options.linkBytesPerSecond = linkBytesPerSecond(settings);
         options.slowStartFactor = settings.slow_start_factor();
         options.slowStartAllowance = settings.slow_start_allowance();
         options.targetHeartbeat = Duration(settings.target_heartbeat_ms());
@@ -95,8 +93,8 @@
           [this](const schema::EntrySyncAnswer& response) { handleSyncResponse(response); })
     , m_readinessServer(loop)
     , m_metricsServer(loop)
-    , m_packets(loop, m_steering, m_adapter.codec, m_settings.link_mbps() * bytesPerMegabit, m_histograms)
-    , m_reporter(loop, m_steering, m_settings.link_mbps())
+    , m_packets(loop, m_steering, m_adapter.codec, linkBytesPerSecond(m_settings), m_histograms)
+    , m_reporter(loop, m_steering, linkBytesPerSecond(m_settings))
     , m_checkTimer(loop,
           [this] {
               m_steering.advance(m_loop.now());
--- a/src/bergamot-entry/load_reporter.cpp
+++ b/src/bergamot-entry/load_reporter.cpp
@@ -8,15 +8,14 @@
 namespace {
 
     constexpr std::size_t maxReportBytes = 8192;
-    constexpr double bytesPerMegabit = 1e6 / 8;
 
 }
 
-LoadReporter::LoadReporter(EventLoop& loop, CookieSteering& steering, double linkMbps)
+LoadReporter::LoadReporter(EventLoop& loop, CookieSteering& steering, double linkBytesPerSecond)
     : m_loop(loop)
     , m_steering(steering)
     , m_socket(maxReportBytes)
-    , m_pacer(linkMbps * bytesPerMegabit)
+    , m_pacer(linkBytesPerSecond)
     , m_timer(loop, [this] {
         m_isScheduled = false;
         send();
--- a/src/bergamot-entry/load_reporter.h
+++ b/src/bergamot-entry/load_reporter.h
@@ -18,8 +18,8 @@
 class LoadReporter {
 public:
     /// @param steering provides the load of this host and receives that of others; must outlive the reporter.
-    /// @param linkMbps capacity of the host's link in Mbit/s; zero if unknown.
-    LoadReporter(EventLoop& loop, CookieSteering& steering, double linkMbps);
+    /// @param linkBytesPerSecond capacity of the host's link; zero if unknown.
+    LoadReporter(EventLoop& loop, CookieSteering& steering, double linkBytesPerSecond);
 
     /// Opens the socket and starts to receive.
     /// @return the error if the socket cannot be opened.
--- a/src/bergamot-entry/packet_path.cpp
+++ b/src/bergamot-entry/packet_path.cpp
@@ -1,10 +1,10 @@
 #include "bergamot-entry/packet_path.h"
 
+#include "bergamot-entry/flow_endpoint.h"
 #include "libbergamotio/connect_probe.h"
 #include "libbergamotio/log.h"
 
 #include <algorithm>
-#include <array>
 
 namespace bergamotroute {
 
@@ -22,14 +22,6 @@
     /// Interval at which suspected targets are checked for a due probe while no packets arrive.
     constexpr Duration probeCheckInterval { 100 };
 
-    Endpoint toEndpoint(std::uint32_t address, std::uint16_t port)
-    {
-        const std::array<std::uint8_t, 4> octets { static_cast<std::uint8_t>(address >> 24),
-            static_cast<std::uint8_t>(address >> 16), static_cast<std::uint8_t>(address >> 8),
-            static_cast<std::uint8_t>(address) };
-        return { IpAddress::fromV4(octets), port };
-    }
-
 }
 
 PacketPath::PacketPath(EventLoop& loop, CookieSteering& steering, const FlowPacketCodec& codec,
