--- a/src/bergamot-entry/paced_sender.cpp
+++ b/src/bergamot-entry/paced_sender.cpp
@@ -59,10 +59,6 @@
 
 void PacedSender::applySwitch()
 {
-    const std::uint64_t version = m_steering.documentVersion();
-    if (version == m_documentVersion)
-        return;
-    m_documentVersion = version;
     const bool isOn = m_steering.controlsOverload();
     if (isOn == (m_control != nullptr))
         return;
--- a/src/bergamot-entry/paced_sender.h
+++ b/src/bergamot-entry/paced_sender.h
@@ -82,8 +82,6 @@
     UdpSocket& m_socket;
     double m_linkBytesPerSecond;
     TrafficSource m_otherTraffic;
-    /// Version of the document that the switch was last applied for.
-    std::uint64_t m_documentVersion = 0;
     /// Empty while overload is not controlled.
     std::unique_ptr<Control> m_control;
     Timer m_timer;
