Keep one search for a data centre in the configuration

evacuation, data_centre_state and safety_check each searched by name. findDataCentre and isDataCentreStopped of data_centre_state now serve all three. Names are unique, because setDataCentre changes an entry that exists.

--- a/src/libbergamot/configuration/data_centre_state.cpp
+++ b/src/libbergamot/configuration/data_centre_state.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-    bool isStopped(const schema::Configuration& configuration, const std::string& dataCentre)
+    /// @param all data centres of a configuration, which may be const.
+    template <typename DataCentres> auto* findByName(DataCentres& all, const std::string& name)
     {
-        const auto& all = configuration.data_centres();
-        return std::any_of(all.begin(), all.end(), [&dataCentre](const schema::DataCentre& candidate) {
-            return candidate.name() == dataCentre && candidate.stopped();
-        });
+        const auto found = std::find_if(
+            all.begin(), all.end(), [&name](const schema::DataCentre& item) { return item.name() == name; });
+        return found == all.end() ? nullptr : &*found;
     }
 
     /// @param additional a data centre that counts as stopped in any case.
@@ -20,7 +20,7 @@
     {
         const auto& names = service.data_centres();
         return !names.empty() && std::all_of(names.begin(), names.end(), [&](const std::string& name) {
-            return name == additional || isStopped(configuration, name);
+            return name == additional || isDataCentreStopped(configuration, name);
         });
     }
 
@@ -36,14 +36,17 @@
         return found == services.end() ? nullptr : &*found;
     }
 
-    schema::DataCentre* findDataCentre(schema::Configuration& configuration, const std::string& name)
-    {
-        auto& all = *configuration.mutable_data_centres();
-        const auto found = std::find_if(
-            all.begin(), all.end(), [&name](const schema::DataCentre& item) { return item.name() == name; });
-        return found == all.end() ? nullptr : &*found;
-    }
+}
 
+const schema::DataCentre* findDataCentre(const schema::Configuration& configuration, const std::string& name)
+{
+    return findByName(configuration.data_centres(), name);
+}
+
+bool isDataCentreStopped(const schema::Configuration& configuration, const std::string& name)
+{
+    const schema::DataCentre* dataCentre = findDataCentre(configuration, name);
+    return dataCentre && dataCentre->stopped();
 }
 
 bool hasOnlyStoppedDataCentres(const schema::Configuration& configuration, const schema::Service& service)
@@ -62,7 +65,7 @@
 {
     if (desired.name().empty())
         return { ResultCode::InvalidValue, "a data centre needs a name" };
-    schema::DataCentre* existing = findDataCentre(configuration, desired.name());
+    schema::DataCentre* existing = findByName(*configuration.mutable_data_centres(), desired.name());
     const bool wasStopped = existing && existing->stopped();
     if (wasStopped == desired.stopped()) {
         if (!existing)
--- a/src/libbergamot/configuration/data_centre_state.h
+++ b/src/libbergamot/configuration/data_centre_state.h
@@ -7,6 +7,12 @@
 
 namespace bergamotroute {
 
+/// @return the entry of a data centre, or null if the configuration has none.
+const schema::DataCentre* findDataCentre(const schema::Configuration& configuration, const std::string& name);
+
+/// @return true if a data centre is in the configuration and stopped.
+bool isDataCentreStopped(const schema::Configuration& configuration, const std::string& name);
+
 /// @return true if a service lists its data centres and all of them are stopped, so that it has no backend server left.
 bool hasOnlyStoppedDataCentres(const schema::Configuration& configuration, const schema::Service& service);
 
--- a/src/libbergamot/directory/evacuation.cpp
+++ b/src/libbergamot/directory/evacuation.cpp
@@ -1,19 +1,13 @@
 #include "bergamotroute/evacuation.h"
 
+#include "configuration/data_centre_state.h"
+
 #include <algorithm>
 
 namespace bergamotroute {
 
 namespace {
 
-    const schema::DataCentre* findDataCentre(const schema::Configuration& configuration, const std::string& name)
-    {
-        const auto& all = configuration.data_centres();
-        const auto found = std::find_if(
-            all.begin(), all.end(), [&name](const schema::DataCentre& item) { return item.name() == name; });
-        return found == all.end() ? nullptr : &*found;
-    }
-
     std::size_t countWithRevision(std::span<const schema::EntryHostRecord> hosts, std::uint64_t revision)
     {
         return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(),
@@ -80,8 +74,7 @@
 bool areAllStopped(const schema::Configuration& configuration, const std::set<std::string>& serving)
 {
     return !serving.empty() && std::all_of(serving.begin(), serving.end(), [&](const std::string& name) {
-        const schema::DataCentre* dataCentre = findDataCentre(configuration, name);
-        return dataCentre && dataCentre->stopped();
+        return isDataCentreStopped(configuration, name);
     });
 }
 
--- a/src/libbergamot/runbook/safety_check.cpp
+++ b/src/libbergamot/runbook/safety_check.cpp
@@ -1,6 +1,7 @@
 #include "bergamotroute/safety_check.h"
 
 #include "bergamotroute/manifest_diff.h"
+#include "configuration/data_centre_state.h"
 
 #include <algorithm>
 #include <set>
@@ -11,12 +12,6 @@
 
     constexpr std::uint32_t zeroWeight = 0;
 
-    bool isDataCentreStopped(const schema::Configuration& configuration, const std::string& name)
-    {
-        return std::any_of(configuration.data_centres().begin(), configuration.data_centres().end(),
-            [&](const schema::DataCentre& dataCentre) { return dataCentre.name() == name && dataCentre.stopped(); });
-    }
-
     bool servesFrom(const schema::Service& service, const std::string& dataCentre)
     {
         return service.data_centres().empty()
