Relay the end of a handshake to the bucket owner, so that it can probe the flow

Cause: the owner probes the flows in its cache. If the first packet and the ACK that ends the handshake both arrive at one other host, that host has a fresh cache entry and forwards the ACK itself. If the flow then goes silent, the owner never learns of it and the flow stays open at the backend server: 3 of 40 silent flows in fails_silent_flows, about the ninth that 9 hosts give.

Change: a pure ACK of a flow of which a host has seen only the first packet goes to the owner, once for each flow.

Ruled out: lost probes and the time of the test: the 3 flows stay open after 600 s with a probe time of 60 s.

The cost of the extra relay was not measured.

--- a/src/libbergamot/steering/packet_path.cpp
+++ b/src/libbergamot/steering/packet_path.cpp
@@ -132,8 +132,11 @@
     if (table == nullptr || !m_state.hasQuorum(now))
         return handleWithoutQuorum(packet, now);
     const Bucket& bucket = table->table.buckets[packet.bucket];
-    if (mayBeProbeAnswer(packet, now))
+    if (mayBeProbeAnswer(packet, now)) {
+        if (FlowEntry* entry = m_state.cache.find(packet.flow, packet.serviceIndex))
+            entry->set(FlowEstablished);
         return sendToOwner(packet, *table, now);
+    }
     const TargetInfo* target = nullptr;
     if (FlowEntry* entry = findUsable(packet, now, &target)) {
         const bool endsLimitedFlow = packet.endsFlow() && m_state.services.info(packet.serviceIndex).limitsOpenFlows;
@@ -167,7 +170,10 @@
     if (!isPureAck)
         return false;
     const FlowEntry* entry = m_state.cache.find(packet.flow, packet.serviceIndex);
-    return entry == nullptr || !isFresh(*entry, m_state.services.info(packet.serviceIndex).probeIdle / 2, now);
+    // The end of a handshake goes to the owner too. Otherwise the owner would never probe a flow whose first packet and
+    // handshake both arrived at one other host and that then goes silent.
+    return entry == nullptr || !entry->has(FlowEstablished)
+        || !isFresh(*entry, m_state.services.info(packet.serviceIndex).probeIdle / 2, now);
 }
 
 ResultCode PacketPath::handleSettled(const SteeredPacket& packet, TargetId base, TimePoint now)
--- a/src/libbergamot/steering/packet_path.h
+++ b/src/libbergamot/steering/packet_path.h
@@ -52,8 +52,10 @@
     void updateFlowState(FlowEntry& entry, const SteeredPacket& packet, TimePoint now);
     FlowEntry* cacheFlow(const SteeredPacket& packet, TargetId target, TimePoint now);
 
-    /// Replies to keep-alive probes must reach the bucket owner, because it sent the probe.
-    /// @return true if the packet is a pure ACK of a flow that may have been idle long enough to be probed.
+    /// Replies to keep-alive probes must reach the bucket owner, because it sent the probe. The end of a handshake must
+    /// reach it, so that it knows the flow and can probe it later.
+    /// @return true if the packet is a pure ACK of a flow that may have been idle long enough to be probed, or the
+    /// first packet after the first packet of its flow that this host sees.
     bool mayBeProbeAnswer(const SteeredPacket& packet, TimePoint now) const;
     bool mayForwardDirectly(const ServiceTable& table, std::uint32_t bucket, TimePoint now) const;
     ResultCode handleCached(const SteeredPacket& packet, const ServiceTable& table, FlowEntry& entry,
