Tell entry hosts how long ago data centres returned to service

Cause: an entry host that started or was cut off during a whole evacuation did not know that the data centre had returned. It did not count the targets there as in slow start and could send cold ones more than the limit permits.

Change: control hosts measure by their steady clock how long ago each evacuation ended (DataCentreReturns). The list of stopped data centres carries the recent returns that the receiver has not applied, with their age; an entry host counts the targets there as in slow start for the longest slow start plus one heartbeat interval from the withdrawal. Returns are sent for just that time, and not at all if the document states no rate. The list is sent only to hosts with an older revision, as before, so a host that has it gets nothing more. The log index up to which all returns are old is saved beside the targets, so that a restart does not bring old returns back. The log line EvacuationApplied of entry hosts names the returns (returned_ms).

--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -104,7 +104,7 @@
     , m_registryStore(m_settings.data_folder())
     , m_quorum(loop, makeOptions(m_settings))
     , m_replicator(loop, m_registry, makeRecord(m_settings))
-    , m_entrySync(loop, m_quorum, m_registry, m_replicator)
+    , m_entrySync(loop, m_quorum, m_registry, m_returns, m_replicator)
     , m_evacuations(loop, m_quorum, m_replicator, m_registry, m_settings, m_protocol)
     , m_rpcServer(loop)
     , m_operatorServer(loop)
@@ -115,7 +115,7 @@
     , m_leaveTime(m_histograms, "bergamot_directory_leave_seconds",
           "Time until a drain or leave is replicated to the other control hosts.")
     , m_checkTimer(loop, [this] { runChecks(); })
-    , m_saveTimer(loop, [this] { m_registryStore.save(m_registry.changesSince(0, m_loop.now())); })
+    , m_saveTimer(loop, [this] { saveRegistry(); })
     , m_stopTimer(loop, [this] { m_loop.stop(); })
 {
     m_registry.setObserver(
@@ -125,7 +125,8 @@
         writeLog(LogLevel::Info, ResultCode::DocumentInForce, "document in force",
             { { "version", std::to_string(document.version()) } });
         m_evacuations.handleConfiguration();
-        updateSlowStartEvents();
+        m_returns.update(m_quorum.log().configuration(), m_loop.now());
+        updateSlowStart();
         m_entrySync.notify();
     });
 }
@@ -137,8 +138,9 @@
     if (const std::error_code error = openListeners())
         return error;
     m_replicator.setIdentity(m_quorum.identity());
-    updateSlowStartEvents();
+    updateSlowStart();
     loadRegistry();
+    m_returns.update(m_quorum.log().configuration(), m_loop.now());
     addSeeds(m_settings);
     m_quorum.serve(m_rpcServer);
     m_replicator.serve(m_rpcServer);
@@ -151,20 +153,36 @@
     return {};
 }
 
-void DirectoryDaemon::updateSlowStartEvents()
+void DirectoryDaemon::updateSlowStart()
 {
     schema::RoutingTable table;
     const bool isParsed = table.ParseFromString(m_quorum.log().configuration().document().routing_table());
-    m_registry.setSlowStartEvents(isParsed && table.slow_starts_size() > 0);
+    const bool hasRate = isParsed && table.slow_starts_size() > 0;
+    m_registry.setSlowStartEvents(hasRate);
+    std::uint32_t longest = 0;
+    for (const schema::SlowStartRecord& slowStart : table.slow_starts())
+        longest = std::max(longest, slowStart.duration_ms());
+    m_returns.setMemory(hasRate ? Duration(longest) + Duration(m_settings.target_heartbeat_ms()) : Duration(0));
 }
 
 void DirectoryDaemon::loadRegistry()
 {
-    for (schema::TargetRecord& record : m_registryStore.load()) {
+    schema::SavedDirectory saved = m_registryStore.load();
+    for (schema::TargetRecord& record : *saved.mutable_targets()) {
         // The downtime of this process is unknown, so the age starts at 0; a target that is down soon becomes silent.
         record.set_age_ms(0);
         m_registry.merge(record, false, m_loop.now());
     }
+    m_returns.restore(saved.settled_returns_revision());
+}
+
+void DirectoryDaemon::saveRegistry()
+{
+    schema::SavedDirectory saved;
+    for (schema::TargetRecord& record : m_registry.changesSince(0, m_loop.now()))
+        *saved.add_targets() = std::move(record);
+    saved.set_settled_returns_revision(m_returns.settledRevision());
+    m_registryStore.save(saved);
 }
 
 std::error_code DirectoryDaemon::openListeners()
@@ -232,6 +250,8 @@
     changeMembers();
     logQuorumContact();
     m_evacuations.advance();
+    if (m_returns.advance(m_loop.now()))
+        m_saveTimer.start(saveDelay);
     m_checkTimer.start(checkInterval);
 }
 
--- a/src/bergamot-directory/directory_daemon.h
+++ b/src/bergamot-directory/directory_daemon.h
@@ -60,9 +60,11 @@
     std::error_code openListeners();
     void addSeeds(const schema::DirectorySettings& settings);
     void handleTargetEvent(const RegisteredTarget& target, TargetEvent event);
-    /// Has the registry pass on a later end of slow start if the document in force states a slow start.
-    void updateSlowStartEvents();
+    /// Has the registry pass on a later end of slow start, and returns be remembered, if the document in force states a
+    /// slow start.
+    void updateSlowStart();
     void loadRegistry();
+    void saveRegistry();
     void runChecks();
     void changeMembers();
     void logQuorumContact();
@@ -85,6 +87,7 @@
     RegistryStore m_registryStore;
     QuorumHost m_quorum;
     DirectoryReplicator m_replicator;
+    DataCentreReturns m_returns;
     EntrySync m_entrySync;
     EvacuationRoutes m_evacuations;
     MemberPolicy m_memberPolicy;
--- a/src/bergamot-directory/entry_sync.cpp
+++ b/src/bergamot-directory/entry_sync.cpp
@@ -36,11 +36,12 @@
 
 }
 
-EntrySync::EntrySync(
-    EventLoop& loop, const QuorumHost& quorum, const TargetRegistry& registry, DirectoryReplicator& replicator)
+EntrySync::EntrySync(EventLoop& loop, const QuorumHost& quorum, const TargetRegistry& registry,
+    const DataCentreReturns& returns, DirectoryReplicator& replicator)
     : m_loop(loop)
     , m_quorum(quorum)
     , m_registry(registry)
+    , m_returns(returns)
     , m_replicator(replicator)
     , m_startTime(loop.now())
     , m_updateTimer(loop, [this] { respondToPending(false); })
@@ -98,8 +99,10 @@
     const bool lacksOrder = mayLackOrder(request);
     if (document.version() > request.document_version() && !lacksOrder)
         response.set_routing_table(document.routing_table());
-    if (auto list = findNewerList(m_quorum.log().configuration(), request.data_centres_revision()))
+    if (auto list = findNewerList(m_quorum.log().configuration(), request.data_centres_revision())) {
+        m_returns.addTo(*list, request.data_centres_revision(), now);
         *response.mutable_stopped_data_centres() = std::move(*list);
+    }
     const auto entryHosts = m_replicator.entryHosts(maxHostAge);
     response.set_entry_hosts_fingerprint(fingerprintOf(entryHosts));
     if (response.entry_hosts_fingerprint() != request.seen_entry_hosts()) {
--- a/src/bergamot-directory/entry_sync.h
+++ b/src/bergamot-directory/entry_sync.h
@@ -5,14 +5,16 @@
 /// lists of other hosts. A call for which there is no update waits until there is one or its wait time has passed.
 
 #include "bergamot-directory/directory_replicator.h"
+#include "bergamotroute/data_centre_returns.h"
 #include "libbergamotio/quorum_host.h"
 
 namespace bergamotroute {
 
 class EntrySync {
 public:
-    EntrySync(
-        EventLoop& loop, const QuorumHost& quorum, const TargetRegistry& registry, DirectoryReplicator& replicator);
+    /// All arguments must outlive the object.
+    EntrySync(EventLoop& loop, const QuorumHost& quorum, const TargetRegistry& registry,
+        const DataCentreReturns& returns, DirectoryReplicator& replicator);
 
     void serve(RpcServer& server);
 
@@ -42,6 +44,7 @@
     EventLoop& m_loop;
     const QuorumHost& m_quorum;
     const TargetRegistry& m_registry;
+    const DataCentreReturns& m_returns;
     DirectoryReplicator& m_replicator;
     TimePoint m_startTime;
     std::vector<PendingCall> m_pendingCalls;
--- a/src/bergamot-directory/registry_store.cpp
+++ b/src/bergamot-directory/registry_store.cpp
@@ -14,7 +14,7 @@
 
 }
 
-std::vector<schema::TargetRecord> RegistryStore::load() const
+schema::SavedDirectory RegistryStore::load() const
 {
     std::string content;
     bool exists = false;
@@ -22,7 +22,7 @@
     if (!exists && !error)
         return {};
     const FrameScan scan = scanFrames(content);
-    schema::DirectoryExchange saved;
+    schema::SavedDirectory saved;
     const bool intact = !error && scan.payloads.size() == 1
         && saved.ParseFromArray(scan.payloads[0].data(), static_cast<int>(scan.payloads[0].size()));
     if (!intact) {
@@ -30,15 +30,12 @@
             { { "detail", error ? error.message() : "damaged" } });
         return {};
     }
-    return { saved.targets().begin(), saved.targets().end() };
+    return saved;
 }
 
-void RegistryStore::save(const std::vector<schema::TargetRecord>& records)
+void RegistryStore::save(const schema::SavedDirectory& directory)
 {
-    schema::DirectoryExchange saved;
-    for (const schema::TargetRecord& record : records)
-        *saved.add_targets() = record;
-    const std::error_code error = replaceFile(m_folder, fileName, makeFrame(saved.SerializeAsString()));
+    const std::error_code error = replaceFile(m_folder, fileName, makeFrame(directory.SerializeAsString()));
     if (error && !m_saveFailed)
         writeLog(LogLevel::Warning, ResultCode::StorageFailed, "cannot save the target registry",
             { { "detail", error.message() } });
--- a/src/bergamot-directory/registry_store.h
+++ b/src/bergamot-directory/registry_store.h
@@ -7,7 +7,6 @@
 #include "directory.pb.h"
 
 #include <string>
-#include <vector>
 
 namespace bergamotroute {
 
@@ -18,11 +17,11 @@
     {
     }
 
-    /// @return the records saved last; empty if there is no file or it cannot be read.
-    std::vector<schema::TargetRecord> load() const;
+    /// @return what was saved last; empty if there is no file or it cannot be read.
+    schema::SavedDirectory load() const;
 
     /// Replaces the file. Consecutive failures are logged only once, until a write succeeds again.
-    void save(const std::vector<schema::TargetRecord>& records);
+    void save(const schema::SavedDirectory& directory);
 
 private:
     std::string m_folder;
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -231,7 +231,8 @@
     const StoppedDataCentreState state = m_steering.stoppedDataCentres();
     writeLog(LogLevel::Info, ResultCode::EvacuationApplied, "list of evacuated data centres applied",
         { { "revision", std::to_string(state.revision) }, { "evacuated", describe(list) },
-            { "targets", std::to_string(state.targets) }, { "open_flows", std::to_string(state.openFlows) } });
+            { "returned_ms", describeReturned(list) }, { "targets", std::to_string(state.targets) },
+            { "open_flows", std::to_string(state.openFlows) } });
 }
 
 void CookieEntryDaemon::reportStoppedDataCentres()
--- a/src/include/bergamotroute/evacuation.h
+++ b/src/include/bergamotroute/evacuation.h
@@ -48,6 +48,9 @@
 /// @return the names of a list, separated by blanks, for the log.
 std::string describe(const schema::StoppedDataCentres& list);
 
+/// @return the returned data centres of a list as name:age in ms, separated by blanks, for the log.
+std::string describeReturned(const schema::StoppedDataCentres& list);
+
 /// @return the names of all data centres in the configuration, stopped or not.
 std::set<std::string> namesOf(const schema::Configuration& configuration);
 
--- a/src/libbergamot/cookie/slow_start_limit_test.cpp
+++ b/src/libbergamot/cookie/slow_start_limit_test.cpp
@@ -473,6 +473,22 @@
     CHECK(localFlows >= 450);
 }
 
+// Guards against cold targets that get more than the limit from hosts that started or were cut off during an
+// evacuation.
+TEST_CASE_FIXTURE(OwnerFixture, "targets of a data centre that returned unseen count as in slow start by the age told")
+{
+    const PooledTarget& target = add(1, "b");
+    schema::StoppedDataCentres list;
+    list.set_revision(2);
+    list.add_returned()->set_name("b");
+    list.mutable_returned(0)->set_age_ms(700);
+    pool.setStoppedDataCentres(list, clock.now());
+    advance(slowStart + heartbeat - Duration(701));
+    CHECK(limit.isLimited(target, clock.now()));
+    advance(Duration(1));
+    CHECK_FALSE(limit.isLimited(target, clock.now()));
+}
+
 TEST_CASE_FIXTURE(OwnerFixture, "a host owns nothing at first, while its view is old, and after contact is regained")
 {
     const PooledTarget& target = add(1, "b", clock.now() + Duration(60'000));
--- a/src/libbergamot/cookie/stopped_data_centres.cpp
+++ b/src/libbergamot/cookie/stopped_data_centres.cpp
@@ -12,6 +12,9 @@
         if (!names.contains(name))
             m_returnedAt[name] = now;
     }
+    // Includes data centres that were stopped and returned while no list arrived here.
+    for (const schema::ReturnedDataCentre& returned : list.returned())
+        m_returnedAt[returned.name()] = now - Duration(returned.age_ms());
     for (const std::string& name : names)
         m_returnedAt.erase(name);
     m_names = std::move(names);
--- a/src/libbergamot/cookie/stopped_data_centres.h
+++ b/src/libbergamot/cookie/stopped_data_centres.h
@@ -25,7 +25,8 @@
 
     bool contains(const std::string& dataCentre) const { return m_names.contains(dataCentre); }
 
-    /// @return the time at which a data centre left the list; nothing if it never did or is in the list again.
+    /// @return the time at which a data centre returned to service, by the control host that sent the list, or by the
+    /// arrival here if that one did not tell; nothing if neither shows a return or it is in the list again.
     std::optional<TimePoint> returnedAt(const std::string& dataCentre) const;
 
     /// @return log index of the applied list; zero before the first.
--- a/src/libbergamot/cookie/stopped_data_centres_test.cpp
+++ b/src/libbergamot/cookie/stopped_data_centres_test.cpp
@@ -233,3 +233,20 @@
     pool.setStoppedDataCentres(makeList(6, { "a" }), clock.now());
     CHECK_FALSE(pool.returnedAt("a").has_value());
 }
+
+// Guards against a host that misses a whole evacuation and keeps the time of an earlier return.
+TEST_CASE("a return that this host missed is known by the age that the control host tells")
+{
+    ManualClock clock;
+    TargetPool pool(parseTargetNumber);
+    pool.setStoppedDataCentres(makeList(3, { "a" }), clock.now());
+    pool.setStoppedDataCentres(makeList(4, {}), clock.now());
+    clock.advance(Duration(5000));
+    schema::StoppedDataCentres list = makeList(8, {});
+    list.add_returned()->set_name("a");
+    list.mutable_returned(0)->set_age_ms(400);
+    pool.setStoppedDataCentres(list, clock.now());
+    CHECK(pool.returnedAt("a") == clock.now() - Duration(400));
+    pool.setStoppedDataCentres(makeList(9, { "a" }), clock.now());
+    CHECK_FALSE(pool.returnedAt("a").has_value());
+}
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -114,8 +114,7 @@
 
     const StoppedDataCentreList& stoppedDataCentres() const { return m_stoppedDataCentres; }
 
-    /// @return the time at which a data centre returned to service; nothing if it was not stopped since the start of
-    /// this process or is stopped now.
+    /// @return the time at which a data centre returned to service; nothing if this is not known or it is stopped now.
     std::optional<TimePoint> returnedAt(const std::string& dataCentre) const
     {
         return m_stoppedDataCentres.returnedAt(dataCentre);
--- a/src/libbergamot/directory/evacuation.cpp
+++ b/src/libbergamot/directory/evacuation.cpp
@@ -69,6 +69,14 @@
     return names;
 }
 
+std::string describeReturned(const schema::StoppedDataCentres& list)
+{
+    std::string text;
+    for (const schema::ReturnedDataCentre& returned : list.returned())
+        text += (text.empty() ? "" : " ") + returned.name() + ':' + std::to_string(returned.age_ms());
+    return text;
+}
+
 std::set<std::string> namesOf(const schema::Configuration& configuration)
 {
     std::set<std::string> names;
--- a/src/libbergamot/directory/evacuation_test.cpp
+++ b/src/libbergamot/directory/evacuation_test.cpp
@@ -1,7 +1,8 @@
 /// @file
-/// Guards against a wrong count of entry hosts that have applied an evacuation, and against a state in which nobody
-/// notices that no data centre is left.
+/// Guards against a wrong count of entry hosts that have applied an evacuation, against a state in which nobody notices
+/// that no data centre is left, and against a return to service that is not told or told for too long.
 
+#include "bergamotroute/data_centre_returns.h"
 #include "bergamotroute/evacuation.h"
 
 #include <doctest/doctest.h>
@@ -99,3 +100,46 @@
     record.set_flows_at_stopped(0);
     CHECK(record.ByteSizeLong() == 0);
 }
+
+// Guards against a return that entry hosts do not hear of because the control host lagged behind or was restarted, and
+// against bytes for returns that matter no more.
+TEST_CASE("a return is told with its age, only to hosts that have not applied it, until it is old")
+{
+    ManualClock clock;
+    DataCentreReturns returns;
+    returns.setMemory(Duration(2600));
+    const auto apply = [&clock](DataCentreReturns& host, bool stopped, std::uint64_t revision) {
+        schema::Configuration configuration;
+        setDataCentre(configuration, "east", stopped, revision);
+        setDataCentre(configuration, "west", false, 0);
+        host.update(configuration, clock.now());
+    };
+    const auto tell = [&clock](const DataCentreReturns& host, std::uint64_t appliedRevision) {
+        schema::StoppedDataCentres list;
+        host.addTo(list, appliedRevision, clock.now());
+        return describeReturned(list);
+    };
+    // A host that lagged behind sees only the result of the order and its withdrawal.
+    apply(returns, false, 6);
+    clock.advance(Duration(700));
+    apply(returns, false, 6);
+    CHECK(tell(returns, 5) == "east:700");
+    CHECK(tell(returns, 6).empty());
+    apply(returns, true, 7);
+    CHECK(tell(returns, 0).empty());
+    apply(returns, false, 10);
+    clock.advance(Duration(2599));
+    CHECK_FALSE(returns.advance(clock.now()));
+    CHECK(tell(returns, 9) == "east:2599");
+    clock.advance(Duration(1));
+    CHECK(tell(returns, 0).empty());
+    CHECK(returns.advance(clock.now()));
+    // After a restart only later returns count as new.
+    DataCentreReturns restarted;
+    restarted.setMemory(Duration(2600));
+    restarted.restore(returns.settledRevision());
+    apply(restarted, false, 10);
+    CHECK(tell(restarted, 0).empty());
+    apply(restarted, false, 12);
+    CHECK(tell(restarted, 0) == "east:0");
+}
