--- a/src/bergamot-directory/entry_sync.cpp
+++ b/src/bergamot-directory/entry_sync.cpp
@@ -118,7 +118,7 @@
     if (document.version() > request.document_version() && !lacksOrder)
         response.set_routing_table(document.routing_table());
     if (auto list = findNewerList(m_quorum.log().configuration(), request.data_centres_revision())) {
-        m_returns.addTo(*list, request.data_centres_revision(), now);
+        m_returns.addTo(*list, request.data_centres_revision(), m_loop.now());
         *response.mutable_stopped_data_centres() = std::move(*list);
     }
     const auto entryHosts = m_replicator.entryHosts(maxHostAge);
