--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -156,8 +156,11 @@
 void DirectoryDaemon::updateSlowStart()
 {
     schema::RoutingTable table;
-    const bool isParsed = table.ParseFromString(m_quorum.log().configuration().document().routing_table());
-    const bool hasRate = isParsed && table.slow_starts_size() > 0;
+    const schema::Document& document = m_quorum.log().configuration().document();
+    // Without a document, as while the storage recovers, the last known slow starts stay in force.
+    if (document.version() == 0 || !table.ParseFromString(document.routing_table()))
+        return;
+    const bool hasRate = table.slow_starts_size() > 0;
     m_registry.setSlowStartEvents(hasRate);
     std::uint32_t longest = 0;
     for (const schema::SlowStartRecord& slowStart : table.slow_starts())
--- a/src/bergamot-entry/control_client.cpp
+++ b/src/bergamot-entry/control_client.cpp
@@ -67,11 +67,11 @@
 
 void ControlClient::call()
 {
-    // Another control host would send its registry from the beginning.
+    // Another control host has other numbers of changes.
     const std::string endpoint = std::exchange(m_hasMore, false) ? m_lastEndpoint : m_selector.usable();
     RpcClient* client = endpoint.empty() ? nullptr : m_clients.clientFor(endpoint);
     if (client && client->isConnected())
-        send(endpoint);
+        send(endpoint, false);
     else
         startRace();
 }
@@ -79,7 +79,7 @@
 void ControlClient::startRace()
 {
     std::vector<std::string> endpoints = m_selector.ranked(m_loop.now());
-    m_attemptsUntilLost = endpoints.size();
+    m_untried = { endpoints.begin(), endpoints.end() };
     m_race.start(std::move(endpoints), m_loop.now());
     if (m_race.isRunning())
         continueRace();
@@ -110,26 +110,26 @@
             m_clients.clientFor(loser)->cancelOpen();
         m_raceTimer.stop();
         m_selector.select(endpoint);
-        send(endpoint);
+        send(endpoint, true);
         return;
     }
     m_race.recordFailure(endpoint, m_loop.now());
     m_selector.recordFailure(endpoint, m_loop.now());
-    if (m_attemptsUntilLost > 0 && --m_attemptsUntilLost == 0)
+    if (m_untried.erase(endpoint) > 0 && m_untried.empty())
         recordLoss(endpoint, "no control host accepts a connection");
     // Not at once: the failed attempt may still be on the stack.
     m_raceTimer.startAt(m_race.nextAttempt());
 }
 
-void ControlClient::send(const std::string& endpoint)
+void ControlClient::send(const std::string& endpoint, bool isNewConnection)
 {
     schema::EntrySyncRequest request;
     *request.mutable_sender() = m_self;
     request.set_document_version(m_documentVersion);
-    if (endpoint != m_lastEndpoint)
+    if (isNewConnection)
         request.set_registry_digest(m_registryDigest());
-    request.set_seen_epoch(m_seenEpoch);
-    request.set_seen_change(m_seenChange);
+    request.set_seen_epoch(m_seen[endpoint].epoch);
+    request.set_seen_change(m_seen[endpoint].change);
     request.set_seen_entry_hosts(m_seenEntryHosts);
     request.set_data_centres_revision(m_self.data_centres_revision());
     request.set_wait_ms(static_cast<std::uint32_t>(longPollTimeout.count()));
@@ -173,8 +173,7 @@
     m_hasQuorumResponse = m_hasQuorumResponse || !response.isolated();
     if (!response.isolated())
         m_lastQuorumResponse = m_loop.now();
-    m_seenEpoch = response.epoch();
-    m_seenChange = response.change();
+    m_seen[endpoint] = { response.epoch(), response.change() };
     m_seenEntryHosts = response.entry_hosts_fingerprint();
     for (const schema::ControlHostRecord& host : response.control_hosts())
         m_selector.addCandidate(host.rpc_endpoint(), host.data_centre());
--- a/src/bergamot-entry/control_client.h
+++ b/src/bergamot-entry/control_client.h
@@ -12,6 +12,8 @@
 #include "directory.pb.h"
 
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
 
 namespace bergamotroute {
@@ -46,12 +48,19 @@
     std::uint64_t failedCalls() const { return m_failedCalls; }
 
 private:
+    /// Part of the registry of one control host; changes are numbered for each epoch.
+    struct RegistryProgress {
+        std::uint64_t epoch = 0;
+        std::uint64_t change = 0;
+    };
+
     /// Calls the current control host, or races for another one until a connection opens.
     void call();
     void startRace();
     void continueRace();
     void handleAttempt(const std::string& endpoint, bool isOpen);
-    void send(const std::string& endpoint);
+    /// @param isNewConnection the control host may have restarted since the last call.
+    void send(const std::string& endpoint, bool isNewConnection);
     void handleResult(const std::string& endpoint, const RpcResult& result);
     void recordLoss(const std::string& endpoint, const std::string& reason);
     /// Records a failed call and makes the next one after a pause.
@@ -64,14 +73,14 @@
     RpcClientPool m_clients;
     ControlSelector m_selector;
     ConnectionRace m_race;
-    /// Failed attempts of the race after which this host has lost contact.
-    std::size_t m_attemptsUntilLost = 0;
+    /// Control hosts that no attempt of the race has failed at yet.
+    std::set<std::string> m_untried;
     std::uint64_t m_documentVersion = 0;
     /// Control host that has responded last, and whether the rest of its registry is to be fetched from it.
     std::string m_lastEndpoint;
     bool m_hasMore = false;
-    std::uint64_t m_seenEpoch = 0;
-    std::uint64_t m_seenChange = 0;
+    /// What has been received of the registry of each control host.
+    std::map<std::string, RegistryProgress> m_seen;
     std::uint64_t m_seenEntryHosts = 0;
     TimePoint m_lastQuorumResponse;
     bool m_hasQuorumResponse = false;
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -107,6 +107,7 @@
           })
     , m_stopTimer(loop, [this] { end(); })
 {
+    m_steering.setRegistryLoaded(false);
     m_registry.setObserver(
         [this](const RegisteredTarget& target, TargetEvent event) { handleTargetEvent(target, event); });
     m_packets.setDecisionObserver(
@@ -206,7 +207,10 @@
             continue;
         const bool isLocal = host.data_centre() == m_settings.data_centre();
         const bool isMember = m_steering.isGroupMember({ host.host(), host.data_centre() });
-        (isMember ? peers.group : isLocal ? peers.local : peers.remote).push_back(parseEndpoint(host.peer_endpoint()));
+        (isMember         ? peers.group
+                : isLocal ? peers.otherLocal
+                          : peers.remote)
+            .push_back(parseEndpoint(host.peer_endpoint()));
     }
     m_reporter.setPeers(std::move(peers));
 }
--- a/src/bergamot-entry/load_reporter.cpp
+++ b/src/bergamot-entry/load_reporter.cpp
@@ -66,7 +66,7 @@
     sendTo(m_peers.group, report, interval);
     m_lastGroupReport = now;
     // Each other host gets one of several reports, which has to contain the evidence of the others.
-    sendInRotation(m_localRotation, m_peers.local, m_localReportInterval, report);
+    sendInRotation(m_localRotation, m_peers.otherLocal, m_localReportInterval, report);
     // A target that this host cannot reach may be reachable from other data centres.
     report.clear_unreachable_cookies();
     sendInRotation(m_remoteRotation, m_peers.remote, m_remoteReportInterval, report);
--- a/src/bergamot-entry/load_reporter.h
+++ b/src/bergamot-entry/load_reporter.h
@@ -20,7 +20,7 @@
     /// Entry hosts that share targets with this host: its group, or all of its data centre if there are no groups.
     std::vector<Endpoint> group;
     /// Other entry hosts of this data centre, and those of other ones.
-    std::vector<Endpoint> local;
+    std::vector<Endpoint> otherLocal;
     std::vector<Endpoint> remote;
 };
 
--- a/src/include/bergamotroute/connection_race.h
+++ b/src/include/bergamotroute/connection_race.h
@@ -18,8 +18,8 @@
 class ConnectionRace {
 public:
     /// @param attemptDelay time after which the next attempt starts although the previous ones are still pending.
-    /// @param retryDelay time from an attempt that has failed to the next one at the same endpoint; zero if it is not
-    /// repeated.
+    /// @param retryDelay time from an attempt that has failed to the next one at the same endpoint, which doubles twice
+    /// while the endpoint refuses; zero if it is not repeated.
     explicit ConnectionRace(Duration attemptDelay, Duration retryDelay = Duration(0))
         : m_attemptDelay(attemptDelay)
         , m_retryDelay(retryDelay)
@@ -54,6 +54,8 @@
         std::string endpoint;
         /// Time from which it may start or, if it is pending, at which it has started.
         TimePoint time;
+        /// Time from its start to the next attempt.
+        Duration retryDelay { 0 };
     };
 
     std::vector<Attempt>::iterator findPending(const std::string& endpoint);
--- a/src/include/bergamotroute/cookie_steering.h
+++ b/src/include/bergamotroute/cookie_steering.h
@@ -211,8 +211,8 @@
     /// @return true if it was installed.
     bool installDocument(RoutingDocument document);
 
-    /// Sets whether all targets are known; true unless set. New flows are held until then, because the hosts that start
-    /// together would otherwise place all of them on the few targets that they know.
+    /// Sets whether all targets that a control host knows have been received; true unless set. New flows are held until
+    /// then, because hosts that start together would otherwise place all of them on the few targets of the first part.
     void setRegistryLoaded(bool isLoaded);
 
     /// Applies a change of a target in the registry.
--- a/src/include/bergamotroute/load_report_pacer.h
+++ b/src/include/bergamotroute/load_report_pacer.h
@@ -23,12 +23,12 @@
     }
 
     /// @param reportBytes size of one report.
-    /// @param peers number of hosts in this host's data centre that receive it.
+    /// @param peers number of hosts in this host's group, or its data centre if there are no groups, that receive it.
     /// @return minimum time between two reports.
     Duration localInterval(std::size_t reportBytes, std::size_t peers) const;
 
     /// @param reportBytes size of one report.
-    /// @param peers number of hosts in other data centres that receive it.
+    /// @param peers number of hosts outside this host's group that receive it, in this data centre or in other ones.
     /// @return minimum time between two reports.
     Duration remoteInterval(std::size_t reportBytes, std::size_t peers) const;
 
--- a/src/libbergamot/cookie/cookie_steering.cpp
+++ b/src/libbergamot/cookie/cookie_steering.cpp
@@ -402,7 +402,11 @@
 
 const SteeringCounters& CookieSteering::counters() const { return m_implementation->counters; }
 
-TargetGroupStatus CookieSteering::targetGroup() const { return m_implementation->groups.status(); }
+TargetGroupStatus CookieSteering::targetGroup() const
+{
+    m_implementation->groups.refresh();
+    return m_implementation->groups.status();
+}
 
 SlowStartStatus CookieSteering::slowStartStatus(TimePoint now) const
 {
--- a/src/libbergamot/cookie/target_groups.cpp
+++ b/src/libbergamot/cookie/target_groups.cpp
@@ -66,6 +66,7 @@
 {
     if (!std::exchange(m_isStale, false) || m_hostsPerGroup == 0)
         return;
+    m_pool.resolveCookieConflicts();
     std::map<std::string_view, std::vector<PooledTarget*>> services;
     for (const auto& [id, target] : m_pool.all()) {
         target->isInGroup = false;
--- a/src/libbergamot/cookie/target_groups_test.cpp
+++ b/src/libbergamot/cookie/target_groups_test.cpp
@@ -1,7 +1,6 @@
 /// @file
 /// Guards against entry hosts that disagree on the groups of targets, groups of uneven size, and groups that change
-/// more than needed when hosts or targets come and go: each makes hosts place flows on targets whose load they do not
-/// know.
+/// more than needed when targets come and go: each makes hosts place flows on targets whose load they do not know.
 
 #include "cookie/steering_deployment.h"
 #include "cookie/target_groups.h"
@@ -187,6 +186,36 @@
     CHECK_FALSE(hosts[hostName(0)]->groups.isActive());
 }
 
+TEST_CASE_FIXTURE(Fixture, "a target whose cookie another one has is in a group as soon as that one is gone")
+{
+    setHosts(28);
+    for (int i = 0; i < 40; ++i)
+        addTarget(i);
+    // The number of this target has the same cookie as the target that has started before.
+    RegisteredTarget rejected = makeTarget(0, "orders", "a");
+    std::array<char, 24> id {};
+    std::snprintf(id.data(), id.size(), "i-%x", 0x1000);
+    rejected.record.set_id(std::string("i-0000") + (id.data() + 2));
+    rejected.record.set_born_ms(2);
+    Host& host = *hosts[hostName(0)];
+    const auto countMarked = [&host] {
+        host.groups.refresh();
+        std::size_t count = 0;
+        for (const auto& [name, target] : host.pool.all())
+            count += target->isInGroup ? 1 : 0;
+        return count;
+    };
+    for (auto& [name, each] : hosts) {
+        each->pool.update(rejected, clock.now());
+        each->groups.noteTargetChange();
+    }
+    const std::size_t before = countMarked();
+    CHECK(hostsOfTargets().size() == 40);
+    removeTarget(0);
+    CHECK(hostsOfTargets().size() == 40);
+    CHECK(countMarked() >= before - 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a host that is not listed yet has no group")
 {
     setHosts(28);
--- a/src/libbergamot/cookie/target_pool.h
+++ b/src/libbergamot/cookie/target_pool.h
@@ -92,6 +92,9 @@
     /// @return the target with a cookie, or null.
     PooledTarget* findByCookie(Cookie cookie);
 
+    /// Decides which target owns each cookie; does so once after any number of updates, when the result is needed.
+    void resolveCookieConflicts() const;
+
     /// @return targets of a service, or an empty list.
     const std::vector<PooledTarget*>& targetsOf(const std::string& service) const;
 
@@ -138,8 +141,6 @@
         std::vector<Cookie> unreachable;
     };
 
-    /// Decides which target owns each cookie; does so once after any number of updates, when the result is needed.
-    void resolveCookieConflicts() const;
     /// @param sign 1 adds a report, -1 takes it back.
     void applyReport(const Report& report, int sign, TimePoint now);
 
--- a/src/libbergamot/directory/connection_race.cpp
+++ b/src/libbergamot/directory/connection_race.cpp
@@ -5,12 +5,19 @@
 
 namespace bergamotroute {
 
+namespace {
+
+    /// Bounds the work for hosts that refuse connections for long.
+    constexpr int maxRetryFactor = 4;
+
+}
+
 void ConnectionRace::start(std::vector<std::string> endpoints, TimePoint now)
 {
     m_waiting.clear();
     m_pending.clear();
     for (std::string& endpoint : endpoints)
-        m_waiting.push_back({ std::move(endpoint), now });
+        m_waiting.push_back({ std::move(endpoint), now, m_retryDelay });
     m_nextAttempt = now;
 }
 
@@ -20,7 +27,7 @@
     const bool isKnown = std::any_of(m_waiting.begin(), m_waiting.end(), isEndpoint)
         || std::any_of(m_pending.begin(), m_pending.end(), isEndpoint);
     if (isRunning() && !isKnown)
-        m_waiting.push_back({ endpoint, m_nextAttempt });
+        m_waiting.push_back({ endpoint, m_nextAttempt, m_retryDelay });
 }
 
 std::optional<std::string> ConnectionRace::takeDueAttempt(TimePoint now)
@@ -31,7 +38,7 @@
         m_waiting.begin(), m_waiting.end(), [now](const Attempt& attempt) { return now >= attempt.time; });
     if (due == m_waiting.end())
         return std::nullopt;
-    m_pending.push_back({ std::move(due->endpoint), now });
+    m_pending.push_back({ std::move(due->endpoint), now, due->retryDelay });
     m_waiting.erase(due);
     m_nextAttempt = now + m_attemptDelay;
     return m_pending.back().endpoint;
@@ -57,8 +64,11 @@
     if (failed == m_pending.end())
         return;
     m_nextAttempt = now;
+    const Duration delay = failed->retryDelay;
+    const bool isRefused = now - failed->time < delay;
+    const Duration nextDelay = isRefused ? std::min(2 * delay, maxRetryFactor * m_retryDelay) : m_retryDelay;
     if (m_retryDelay > Duration(0))
-        m_waiting.push_back({ endpoint, failed->time + m_retryDelay });
+        m_waiting.push_back({ endpoint, failed->time + delay, nextDelay });
     m_pending.erase(failed);
 }
 
--- a/src/libbergamot/directory/heartbeat_digest.cpp
+++ b/src/libbergamot/directory/heartbeat_digest.cpp
@@ -125,12 +125,14 @@
         const auto found = m_peerTargets.find(key);
         const bool isKnown = found != m_peerTargets.end();
         const bool isOvertaken = isKnown && message.sender_change() < found->second.change;
+        if (isOvertaken)
+            continue;
         const Duration age = refreshAgeUnit * message.refresh_ages(i);
-        if (isKnown && !isOvertaken && applyRefresh(found->second, message.refresh_sequences(i), age, now))
+        if (isKnown && applyRefresh(found->second, message.refresh_sequences(i), age, now))
             continue;
         ++m_counters.refreshesIgnored;
         // After an incomplete message the peer sends everything anyway.
-        if (isComplete && !isOvertaken)
+        if (isComplete)
             m_wantedKeys[key] = maxRequests;
     }
 }
@@ -144,7 +146,11 @@
 {
     if (m_peerTargets.size() <= m_registry.targets().size() + maxRemovedTargets)
         return;
-    std::erase_if(m_peerTargets, [this](const auto& item) { return m_registry.find(item.second.id) == nullptr; });
+    // A target that was removed and comes back gets another key.
+    std::erase_if(m_peerTargets, [this](const auto& item) {
+        const RegisteredTarget* target = m_registry.find(item.second.id);
+        return !target || item.second.startTimeMs < target->record.born_ms();
+    });
 }
 
 }
