--- a/src/soak/soak.py
+++ b/src/soak/soak.py
@@ -164,6 +164,9 @@
         net = arguments.net or 100 + os.getpid() % 100
         self.net = net
         self.fleet = Fleet(arguments.binaries, arguments.folder, net, arguments.controls, arguments.entries)
+        for host in self.fleet.entries:
+            # Two entry hosts of the first data centre then have a group of targets each.
+            host.settings.update(hosts_per_target_group=1, learn_capacity=True)
         self.operator = Operator(self.fleet, self.journal, self.rng)
         self.evacuator = Evacuator(self.fleet, self.journal, arguments.seed)
         self.ready = set()
