--- a/src/libbergamot/cookie/target_groups_test.cpp
+++ b/src/libbergamot/cookie/target_groups_test.cpp
@@ -76,6 +76,7 @@
     void setHosts(int count)
     {
         std::vector<EntryHostLocation> list;
+        list.reserve(2 * static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             list.push_back({ hostName(i), "a" });
         for (int i = 0; i < count; ++i)
