Count refreshes of an earlier incarnation again

Cause: the corrections after the review dropped late refreshes of an earlier incarnation before the counter.

Change: both places are as before the review. A refresh of an earlier incarnation asks for a whole record that changes nothing, which costs some bytes after a restart only.

--- a/src/libbergamot/directory/heartbeat_digest.cpp
+++ b/src/libbergamot/directory/heartbeat_digest.cpp
@@ -125,14 +125,12 @@
         const auto found = m_peerTargets.find(key);
         const bool isKnown = found != m_peerTargets.end();
         const bool isOvertaken = isKnown && message.sender_change() < found->second.change;
-        if (isOvertaken)
-            continue;
         const Duration age = refreshAgeUnit * message.refresh_ages(i);
-        if (isKnown && applyRefresh(found->second, message.refresh_sequences(i), age, now))
+        if (isKnown && !isOvertaken && applyRefresh(found->second, message.refresh_sequences(i), age, now))
             continue;
         ++m_counters.refreshesIgnored;
         // After an incomplete message the peer sends everything anyway.
-        if (isComplete)
+        if (isComplete && !isOvertaken)
             m_wantedKeys[key] = maxRequests;
     }
 }
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -152,10 +152,8 @@
     std::uint64_t contentRevision, std::uint64_t sequence, Duration age, TimePoint now)
 {
     const auto found = m_targets.find(id);
-    if (found == m_targets.end() || startTimeMs > found->second.record.born_ms())
+    if (found == m_targets.end() || found->second.record.born_ms() != startTimeMs)
         return std::nullopt;
-    if (startTimeMs < found->second.record.born_ms())
-        return TargetEvent::Ignored;
     RegisteredTarget& target = found->second;
     const TimePoint lastHeartbeat = now - age;
     const bool isLate = sequence < target.record.sequence()
