--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+sys.path.insert(0, str(FOLDER.parent))
 from deployment import (BROKEN, CATCH_UP_S, COULD_NOT_RUN, HELD, RECOVER_S, RESTART_DELAY_S, TROUBLE,  # noqa: E402
                         Deployment, run_case)
 from operator_calls import Operator  # noqa: E402
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+sys.path.insert(0, str(FOLDER.parent))
 from deployment import (BROKEN, COULD_NOT_RUN, DRAIN_S, HELD, STABLE_WINDOW_S, TROUBLE, Deployment,  # noqa: E402
                         run_case)
 from flows import Client, Target, wait_until_ready  # noqa: E402
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys, tomllib; sys.exit(sys.version_info < (3, 11))'
-for source in standins/*.py */case.py; do
+for source in *.py */case.py; do
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$source"
 done
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -18,7 +18,7 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
--- a/review/standins/operator_calls.py
+++ b/review/operator_calls.py
@@ -5,7 +5,7 @@
 
 CALL_TIMEOUT_S = 1.0
 SERVICES = ("orders", "manifests")
-SERVICE_ADDRESS = "198.18.0.1"
+SERVICE_ADDRESS = "127.18.0.1"
 
 
 def make_config(version):
