Keep the number of voters odd, so that a replaced control host does not count in the majority

Callers saw: after a control host had been replaced, and all control processes had been killed once, the next lost disk ended the quorum for good. An acknowledged document could not be read back; every control host answered 503 "no known leader".

Cause: the replaced host stayed a voter, so that three of four voters were needed. MemberPolicy removed a silent voter only if it knew that another host had replaced it, from announcements that live in the leader's memory. After a restart of all control hosts nobody had them, and the condition never held. The same rule waited 3 s, or 10 s for a successor in another data centre, while a removed host stops counting once its successor has caught up.

Change: an even number of voters tolerates no more losses than one less, so the leader keeps it odd (VoterBalance). A silent voter of an even number loses its vote whoever replaced it; a running member takes the place of a silent one; a member that joined after all voters of its data centre takes the vote of the one that it may replace, while that one still runs. A host that is told to stop says so, counts as silent, and goes on for at most 1.5 s until its vote has passed. The new change demote_control_member keeps identity and log; a leader that loses its vote stops leading when the change is accepted.

Evidence: MemberChanged shows four voters from the promotion of the successor to the end, ControlHostIsolated on the two other hosts after the lost disk. Ruled out: a lost or older log; the two remaining hosts have the version on disk.

--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -21,6 +21,9 @@
     constexpr Duration maxMemberAge { 60'000 };
     /// Time during which a stopping process still responds to calls that have already arrived.
     constexpr Duration stopGrace { 300 };
+    /// Time for which a stopping process waits until another member has its vote; well inside the time that a platform
+    /// gives a process to end.
+    constexpr Duration votePassTimeout { 1500 };
     /// Log entries contain whole documents, so a snapshot is taken after few of them.
     constexpr std::uint32_t snapshotEntries = 10;
 
@@ -114,10 +117,12 @@
     , m_readTime(m_histograms, "bergamot_directory_read_seconds", "Time from a read to its confirmation by a majority.")
     , m_leaveTime(m_histograms, "bergamot_directory_leave_seconds",
           "Time until a drain or leave is replicated to the other control hosts.")
+    , m_memberTimer(loop, [this] { changeMembers(); })
     , m_checkTimer(loop, [this] { runChecks(); })
     , m_saveTimer(loop, [this] { saveRegistry(); })
-    , m_stopTimer(loop, [this] { m_loop.stop(); })
+    , m_stopTimer(loop, [this] { finishStop(); })
 {
+    m_replicator.onHostStopping([this] { m_memberTimer.start(Duration(0)); });
     m_registry.setObserver(
         [this](const RegisteredTarget& target, TargetEvent event) { handleTargetEvent(target, event); });
     m_quorum.configurationAccepted().connect([this] {
@@ -282,7 +287,7 @@
     for (const schema::ControlHostRecord& record : m_replicator.controlHosts(maxMemberAge)) {
         if (!record.identity().empty())
             announced.push_back({ record.identity(), record.host(), record.rpc_endpoint(), record.data_centre(),
-                Duration(record.age_ms()) });
+                Duration(record.age_ms()), record.stopping() });
     }
     const auto step = m_memberPolicy.advance(m_quorum.log().members(), announced, m_quorum.identity(), now);
     if (!step)
@@ -296,6 +301,8 @@
         LogLevel::Info, ResultCode::MemberChanged, step->reason, { { "change", step->change.ShortDebugString() } });
     m_quorum.submit(command, [this](const schema::CommandResult& result) {
         m_memberChangePending = false;
+        // Not from here, because the log is still at work on this change.
+        m_memberTimer.start(Duration(0));
         if (result.outcome() != schema::OUTCOME_ACCEPTED)
             writeLog(LogLevel::Warning, static_cast<ResultCode>(result.code()), "membership change was not accepted",
                 { { "detail", result.message() } });
@@ -310,8 +317,29 @@
     }
     m_stopping = true;
     writeLog(LogLevel::Info, ResultCode::Ok, "stopping", { { "pending", std::to_string(m_quorum.pendingCommands()) } });
+    m_replicator.announceStop();
+    m_memberTimer.start(Duration(0));
     m_entrySync.respondToAll();
+    m_stopDeadline = m_loop.now() + votePassTimeout;
     m_stopTimer.start(stopGrace);
 }
 
+bool DirectoryDaemon::canPassVote() const
+{
+    const std::vector<schema::ControlMember>& members = m_quorum.log().members();
+    const auto voters = std::count_if(
+        members.begin(), members.end(), [](const schema::ControlMember& member) { return member.voter(); });
+    const bool hasOtherMember = static_cast<std::size_t>(voters) < members.size();
+    return m_quorum.isVoter() && (hasOtherMember || (voters > 2 && voters % 2 == 0));
+}
+
+void DirectoryDaemon::finishStop()
+{
+    constexpr Duration repeat { 50 };
+    if (canPassVote() && m_loop.now() < m_stopDeadline)
+        m_stopTimer.start(repeat);
+    else
+        m_loop.stop();
+}
+
 }
--- a/src/bergamot-directory/directory_daemon.h
+++ b/src/bergamot-directory/directory_daemon.h
@@ -67,6 +67,10 @@
     void saveRegistry();
     void runChecks();
     void changeMembers();
+    /// @return whether this host votes and another member can get its vote.
+    bool canPassVote() const;
+    /// Ends the loop unless this host should first pass its vote to another member.
+    void finishStop();
     void logQuorumContact();
 
     void putDocument(const ExchangePointer& exchange);
@@ -102,6 +106,8 @@
     bool m_memberChangePending = false;
     bool m_hadQuorum = false;
     bool m_stopping = false;
+    TimePoint m_stopDeadline;
+    Timer m_memberTimer;
     Timer m_checkTimer;
     Timer m_saveTimer;
     Timer m_stopTimer;
--- a/src/bergamot-directory/directory_replicator.cpp
+++ b/src/bergamot-directory/directory_replicator.cpp
@@ -78,6 +78,12 @@
 
 void DirectoryReplicator::addSeed(const std::string& endpoint) { findOrAddPeer(endpoint); }
 
+void DirectoryReplicator::announceStop()
+{
+    m_self.set_stopping(true);
+    requestRound();
+}
+
 void DirectoryReplicator::requestRound()
 {
     if (m_roundRequested)
@@ -153,6 +159,8 @@
     }
     for (const schema::EntryHostRecord& record : message.entry_hosts())
         m_entryHosts.merge(record.host(), record, now);
+    if (message.sender().stopping() && m_hostStopping)
+        m_hostStopping();
 }
 
 void DirectoryReplicator::handleCall(const std::string& body, const RpcReply& reply)
--- a/src/bergamot-directory/directory_replicator.h
+++ b/src/bergamot-directory/directory_replicator.h
@@ -35,6 +35,12 @@
 
     void setIdentity(const std::string& identity) { m_self.set_identity(identity); }
 
+    /// Tells the other control hosts that this one has been told to stop.
+    void announceStop();
+
+    /// Calls the handler when another control host says that it has been told to stop.
+    void onHostStopping(std::function<void()> handler) { m_hostStopping = std::move(handler); }
+
     /// Sends changes now instead of in the next periodic round.
     void requestRound();
 
@@ -96,6 +102,7 @@
     HostDirectory<schema::ControlHostRecord> m_controlHosts;
     HostDirectory<schema::EntryHostRecord> m_entryHosts;
     std::vector<Waiter> m_waiters;
+    std::function<void()> m_hostStopping;
     std::uint64_t m_roundCount = 0;
     std::uint64_t m_failedCalls = 0;
     bool m_hasFullRegistry = false;
--- a/src/bergamot-directory/operator_routes.cpp
+++ b/src/bergamot-directory/operator_routes.cpp
@@ -24,14 +24,6 @@
         return exchange.path().substr(exchange.path().rfind('/') + 1);
     }
 
-    bool isVoter(const QuorumHost& quorum)
-    {
-        const std::vector<schema::ControlMember>& members = quorum.log().members();
-        return std::any_of(members.begin(), members.end(), [&quorum](const schema::ControlMember& member) {
-            return member.voter() && member.identity() == quorum.identity();
-        });
-    }
-
 }
 
 void DirectoryDaemon::replyError(const ExchangePointer& exchange, HttpStatus status, std::string_view message)
@@ -197,7 +189,7 @@
     add("term", "Current term of the quorum.", static_cast<double>(m_quorum.log().term()));
     add("leads", "1 if this host is the leader.", m_quorum.log().role() == QuorumRole::Leader ? 1 : 0);
     add("members", "Members of the quorum.", static_cast<double>(m_quorum.log().members().size()));
-    add("votes", "1 if this host is a member of the quorum that votes.", isVoter(m_quorum) ? 1 : 0);
+    add("votes", "1 if this host is a member of the quorum that votes.", m_quorum.isVoter() ? 1 : 0);
     add("targets", "Targets in the registry.", static_cast<double>(m_registry.targets().size()));
     add("waiting_entry_calls", "Pending long polls of entry hosts.",
         static_cast<double>(m_entrySync.pendingCallCount()));
--- a/src/include/bergamotroute/member_policy.h
+++ b/src/include/bergamotroute/member_policy.h
@@ -2,9 +2,10 @@
 
 /// @file
 /// Decides how the leader of the control hosts changes the membership of the quorum without an operator: discovered
-/// hosts are added and promoted to voters, replaced hosts are removed. One change at a time.
+/// hosts are added, an odd number of running ones vote, lost ones are removed. One change at a time.
 
 #include "bergamotroute/clock.h"
+#include "bergamotroute/voter_balance.h"
 
 #include "configuration.pb.h"
 #include "directory.pb.h"
@@ -23,17 +24,19 @@
     std::string dataCentre;
     /// Time since its last announcement.
     Duration age { 0 };
+    /// It has been told to stop, so that it counts as lost although it still runs.
+    bool isStopping = false;
 };
 
 struct MemberPolicyOptions {
     /// A host whose last announcement is at least this old does not count as running.
     Duration announcementTimeout { 2000 };
-    /// Silence after which a voter may be removed if another host has replaced it. Longer than a usual restart.
-    Duration replaceAfter { 10'000 };
-    /// The same if the other host runs in the silent host's data centre and joined later. Shorter, because that host is
-    /// a planned replacement, and another host may be lost as soon as the replacement has caught up.
-    Duration replaceInDataCentreAfter { 3000 };
-    /// Minimum time between two changes.
+    /// Silence after which a member without a vote is removed. Longer than a usual restart.
+    Duration removeAfter { 10'000 };
+    /// Time for which a new member is known before it takes the vote of a running host. Longer than the first start of
+    /// a deployment takes to find all hosts, shorter than the time after which a successor may count.
+    Duration settleTime { 2000 };
+    /// Minimum time between two changes, except after a promotion.
     Duration minChangeInterval { 300 };
 };
 
@@ -73,10 +76,15 @@
         std::span<const schema::ControlMember> members, std::span<const AnnouncedControlHost> announced, TimePoint now);
     std::optional<MembershipChange> removeReplaced(std::span<const schema::ControlMember> members,
         std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const;
-    std::optional<MembershipChange> removeSilent(std::span<const schema::ControlMember> members,
+    std::optional<MembershipChange> removeSilent(std::span<const schema::ControlMember> members, TimePoint now) const;
+    std::optional<MembershipChange> add(std::span<const schema::ControlMember> members,
+        std::span<const AnnouncedControlHost> announced, TimePoint now) const;
+    VoterBalance makeBalance(std::span<const schema::ControlMember> members,
+        std::span<const AnnouncedControlHost> announced, TimePoint now) const;
+    /// Keeps the number of voters odd, and running hosts among them.
+    static std::optional<MembershipChange> balanceVoters(const VoterBalance& balance);
+    std::optional<MembershipChange> findChange(std::span<const schema::ControlMember> members,
         std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const;
-    bool hasReplacement(std::span<const schema::ControlMember> members, std::span<const AnnouncedControlHost> announced,
-        std::size_t silent, TimePoint now) const;
     bool isAlive(const std::string& identity, TimePoint now) const;
 
     MemberPolicyOptions m_options;
--- a/src/libbergamot/configuration/change.cpp
+++ b/src/libbergamot/configuration/change.cpp
@@ -184,6 +184,30 @@
         return {};
     }
 
+    /// Refuses a change that would take the vote of the only voter.
+    CommandStatus checkVotersRemain(const Configuration& configuration, const schema::ControlMember& leaving)
+    {
+        const auto& all = configuration.control_members();
+        const auto voters
+            = std::count_if(all.begin(), all.end(), [](const schema::ControlMember& item) { return item.voter(); });
+        if (leaving.voter() && voters == 1)
+            return reject(ResultCode::MajorityLoss, "the last voter must keep its vote");
+        return {};
+    }
+
+    CommandStatus demoteMember(Configuration& configuration, const std::string& identity)
+    {
+        schema::ControlMember* member = findMember(configuration, identity);
+        if (!member)
+            return unknownMemberError(identity);
+        if (!member->voter())
+            return reject(ResultCode::MemberExists, "member " + identity + " has no vote already");
+        if (CommandStatus status = checkVotersRemain(configuration, *member); !status.accepted())
+            return status;
+        member->set_voter(false);
+        return {};
+    }
+
     CommandStatus putDocument(Configuration& configuration, const schema::Document& document)
     {
         if (document.version() == 0)
@@ -198,11 +222,8 @@
         const schema::ControlMember* member = findMember(configuration, identity);
         if (!member)
             return unknownMemberError(identity);
-        const auto& all = configuration.control_members();
-        const auto voters
-            = std::count_if(all.begin(), all.end(), [](const schema::ControlMember& item) { return item.voter(); });
-        if (member->voter() && voters == 1)
-            return reject(ResultCode::MajorityLoss, "the last voter cannot be removed");
+        if (CommandStatus status = checkVotersRemain(configuration, *member); !status.accepted())
+            return status;
         eraseIf(*configuration.mutable_control_members(),
             [identity](const schema::ControlMember& item) { return item.identity() == identity; });
         return {};
@@ -231,6 +252,8 @@
         return addMember(configuration, change.add_control_member());
     case schema::Change::kPromoteControlMember:
         return promoteMember(configuration, change.promote_control_member());
+    case schema::Change::kDemoteControlMember:
+        return demoteMember(configuration, change.demote_control_member());
     case schema::Change::kRemoveControlMember:
         return removeMember(configuration, change.remove_control_member());
     case schema::Change::kPutDocument:
--- a/src/libbergamot/configuration/configuration_machine.cpp
+++ b/src/libbergamot/configuration/configuration_machine.cpp
@@ -14,6 +14,7 @@
     bool isMemberChange(const schema::Change& change)
     {
         return change.has_add_control_member() || change.change_case() == schema::Change::kPromoteControlMember
+            || change.change_case() == schema::Change::kDemoteControlMember
             || change.change_case() == schema::Change::kRemoveControlMember;
     }
 
--- a/src/libbergamot/directory/member_policy.cpp
+++ b/src/libbergamot/directory/member_policy.cpp
@@ -32,11 +32,19 @@
         return proposal;
     }
 
-    MembershipChange makePromotion(const schema::ControlMember& member)
+    MembershipChange makePromotion(const schema::ControlMember& member, std::string reason)
     {
         MembershipChange proposal;
         proposal.change.set_promote_control_member(member.identity());
-        proposal.reason = "a non-voting member is running";
+        proposal.reason = std::move(reason);
+        return proposal;
+    }
+
+    MembershipChange makeDemotion(const schema::ControlMember& member, std::string reason)
+    {
+        MembershipChange proposal;
+        proposal.change.set_demote_control_member(member.identity());
+        proposal.reason = std::move(reason);
         return proposal;
     }
 
@@ -83,70 +91,94 @@
     return std::nullopt;
 }
 
-bool MemberPolicy::hasReplacement(std::span<const schema::ControlMember> members,
-    std::span<const AnnouncedControlHost> announced, std::size_t silent, TimePoint now) const
-{
-    const auto dataCentreOf = [announced](const std::string& identity) {
-        const auto found = std::find_if(announced.begin(), announced.end(),
-            [&identity](const AnnouncedControlHost& host) { return host.identity == identity; });
-        return found == announced.end() ? std::string() : found->dataCentre;
-    };
-    const SeenTimes& silentTimes = m_seen.at(members[silent].identity());
-    const std::string dataCentre = dataCentreOf(members[silent].identity());
-    for (std::size_t i = 0; i < members.size(); ++i) {
-        const schema::ControlMember& other = members[i];
-        if (!other.voter() || i == silent || !isAlive(other.identity(), now))
-            continue;
-        // Members are listed in the order in which they joined.
-        const bool isInSameDataCentre
-            = i > silent && !dataCentre.empty() && dataCentreOf(other.identity()) == dataCentre;
-        if (isInSameDataCentre && now - silentTimes.last >= m_options.replaceInDataCentreAfter)
-            return true;
-        // A host that was first seen at about the time when the silent one was lost, or later, is its replacement.
-        const TimePoint first = m_seen.at(other.identity()).first;
-        if (first > silentTimes.first && first + m_options.replaceAfter > silentTimes.last
-            && now - silentTimes.last >= m_options.replaceAfter)
-            return true;
-    }
-    return false;
-}
-
-std::optional<MembershipChange> MemberPolicy::removeSilent(std::span<const schema::ControlMember> members,
-    std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const
+std::optional<MembershipChange> MemberPolicy::removeSilent(
+    std::span<const schema::ControlMember> members, TimePoint now) const
 {
-    for (std::size_t i = 0; i < members.size(); ++i) {
-        const schema::ControlMember& member = members[i];
-        if (member.identity() == self || isAlive(member.identity(), now))
-            continue;
-        const bool isLongSilent = now - m_seen.at(member.identity()).last >= m_options.replaceAfter;
-        if ((!member.voter() && isLongSilent) || hasReplacement(members, announced, i, now))
-            return makeRemoval(member, "the member is silent and has been replaced by another host");
+    for (const schema::ControlMember& member : members) {
+        if (!member.voter() && now - m_seen.at(member.identity()).last >= m_options.removeAfter)
+            return makeRemoval(member, "the member has no vote and is silent");
     }
     return std::nullopt;
 }
 
-std::optional<MembershipChange> MemberPolicy::advance(std::span<const schema::ControlMember> members,
-    std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now)
+std::optional<MembershipChange> MemberPolicy::add(std::span<const schema::ControlMember> members,
+    std::span<const AnnouncedControlHost> announced, TimePoint now) const
 {
-    updateSeenTimes(members, announced, now);
-    if (now < m_nextChange)
-        return std::nullopt;
-    m_nextChange = now + m_options.minChangeInterval;
-    if (auto proposal = removeReplaced(members, announced, self, now))
-        return proposal;
     for (const AnnouncedControlHost& host : announced) {
         // A member with the same address is removed first, so that the identity of a lost disk does not count as a
         // voter.
         const bool isEndpointInUse = std::any_of(members.begin(), members.end(),
             [&host](const schema::ControlMember& member) { return member.rpc_endpoint() == host.rpcEndpoint; });
-        if (!isEndpointInUse && !findMember(members, host.identity) && isAlive(host.identity, now))
+        if (!isEndpointInUse && !findMember(members, host.identity) && isAlive(host.identity, now) && !host.isStopping)
             return makeAddition(host);
     }
+    return std::nullopt;
+}
+
+VoterBalance MemberPolicy::makeBalance(std::span<const schema::ControlMember> members,
+    std::span<const AnnouncedControlHost> announced, TimePoint now) const
+{
+    std::vector<VoterCandidate> candidates;
     for (const schema::ControlMember& member : members) {
-        if (!member.voter() && isAlive(member.identity(), now))
-            return makePromotion(member);
+        const auto host = std::find_if(announced.begin(), announced.end(),
+            [&member](const AnnouncedControlHost& item) { return item.identity == member.identity(); });
+        const bool isKnown = host != announced.end();
+        const bool isRunning = isAlive(member.identity(), now) && !(isKnown && host->isStopping);
+        const bool isSettled = now - m_seen.at(member.identity()).first >= m_options.settleTime;
+        candidates.push_back({ &member, isKnown ? host->dataCentre : std::string(), isRunning, isSettled });
     }
-    return removeSilent(members, announced, self, now);
+    return VoterBalance(std::move(candidates));
+}
+
+std::optional<MembershipChange> MemberPolicy::balanceVoters(const VoterBalance& balance)
+{
+    const VoterCandidate* silent = balance.findSilentVoter();
+    const VoterCandidate* candidate = balance.findCandidate();
+    if (balance.voterCount() % 2 == 0) {
+        const bool hasSpareVoter = balance.voterCount() > 2;
+        if (silent && hasSpareVoter)
+            return makeDemotion(*silent->member, "the voter is silent, and the others tolerate more losses without it");
+        if (candidate)
+            return makePromotion(*candidate->member, "the number of voters is even");
+        const VoterCandidate* surplus = balance.findSurplusVoter();
+        if (surplus && hasSpareVoter)
+            return makeDemotion(*surplus->member, "an even number of voters tolerates no more losses than one less");
+        return std::nullopt;
+    }
+    if (!candidate)
+        return std::nullopt;
+    if (silent)
+        return makePromotion(*candidate->member, "a running member takes the place of a silent voter");
+    if (balance.candidateCount() > 1)
+        return makePromotion(*candidate->member, "two more members can vote");
+    if (balance.isReplacement(*candidate))
+        return makePromotion(*candidate->member, "the member joined after all voters of its data centre");
+    return std::nullopt;
+}
+
+std::optional<MembershipChange> MemberPolicy::findChange(std::span<const schema::ControlMember> members,
+    std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const
+{
+    if (auto removal = removeReplaced(members, announced, self, now))
+        return removal;
+    if (auto addition = add(members, announced, now))
+        return addition;
+    if (auto change = balanceVoters(makeBalance(members, announced, now)))
+        return change;
+    return removeSilent(members, now);
+}
+
+std::optional<MembershipChange> MemberPolicy::advance(std::span<const schema::ControlMember> members,
+    std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now)
+{
+    updateSeenTimes(members, announced, now);
+    if (now < m_nextChange)
+        return std::nullopt;
+    std::optional<MembershipChange> change = findChange(members, announced, self, now);
+    // A promotion makes the number of voters even, which the next change mends, so that one follows without a pause.
+    const bool isPromotion = change && change->change.change_case() == schema::Change::kPromoteControlMember;
+    m_nextChange = isPromotion ? now : now + m_options.minChangeInterval;
+    return change;
 }
 
 }
--- a/src/libbergamot/quorum/commands.cpp
+++ b/src/libbergamot/quorum/commands.cpp
@@ -99,13 +99,13 @@
             && now - found->second.lastContact < options.electionTimeout;
         return caughtUp ? ResultCode::Ok : ResultCode::MemberNotCaughtUp;
     }
-    if (change.change_case() != schema::Change::kRemoveControlMember || command.force())
+    const bool demotes = change.change_case() == schema::Change::kDemoteControlMember;
+    if ((!demotes && change.change_case() != schema::Change::kRemoveControlMember) || command.force())
         return ResultCode::Ok;
+    const std::string& leaving = demotes ? change.demote_control_member() : change.remove_control_member();
     std::vector<schema::ControlMember> remaining;
-    std::copy_if(
-        members.begin(), members.end(), std::back_inserter(remaining), [&](const schema::ControlMember& member) {
-            return member.voter() && member.identity() != change.remove_control_member();
-        });
+    std::copy_if(members.begin(), members.end(), std::back_inserter(remaining),
+        [&](const schema::ControlMember& member) { return member.voter() && member.identity() != leaving; });
     const bool keepsMajority = countReachableVoters(remaining, now) >= remaining.size() / 2 + 1;
     return keepsMajority ? ResultCode::Ok : ResultCode::MajorityLoss;
 }
@@ -162,6 +162,14 @@
     if (role == QuorumRole::Leader)
         dropRemovedMembers(now);
     const schema::Change& change = entry.command().changes(0);
+    const bool demotesSelf = change.change_case() == schema::Change::kDemoteControlMember
+        && change.demote_control_member() == options.identity;
+    if (demotesSelf && role == QuorumRole::Leader) {
+        // The followers learn that the entry is accepted, so that the next leader begins with it applied.
+        sendHeartbeats(now);
+        sink.logEvent(ResultCode::MemberChanged, "this host has lost its vote; stepping down as leader");
+        becomeFollower(hardState.term(), {}, now);
+    }
     const bool removesSelf = change.change_case() == schema::Change::kRemoveControlMember
         && change.remove_control_member() == options.identity;
     if (!removesSelf)
--- a/src/libbergamot/quorum/quorum_members_test.cpp
+++ b/src/libbergamot/quorum/quorum_members_test.cpp
@@ -32,6 +32,13 @@
     return command;
 }
 
+schema::Command demoteMember(const std::string& requestId, const std::string& identity)
+{
+    schema::Command command = memberCommand(requestId);
+    command.mutable_changes(0)->set_demote_control_member(identity);
+    return command;
+}
+
 schema::Command removeMember(const std::string& requestId, const std::string& identity)
 {
     schema::Command command = memberCommand(requestId);
@@ -117,6 +124,48 @@
     CHECK(quorum.submitToLeader(makeCommand("b", "10.0.0.2")).outcome() == schema::OUTCOME_ACCEPTED);
 }
 
+// Guards against a leader that leads on without a vote, and against a demoted member that counts in the majority or
+// must join anew.
+TEST_CASE("a leader that loses its vote steps down and follows with its log")
+{
+    TestQuorum quorum(4, 11);
+    CHECK(quorum.submitToLeader(makeCommand("a", "10.0.0.1")).outcome() == schema::OUTCOME_ACCEPTED);
+    TestMember* former = quorum.leader();
+    REQUIRE(former != nullptr);
+    CHECK(quorum.submitToLeader(demoteMember("demote", former->identity)).outcome() == schema::OUTCOME_ACCEPTED);
+    quorum.run(Duration(3000));
+    TestMember* leader = quorum.leader();
+    REQUIRE(leader != nullptr);
+    CHECK(leader != former);
+    CHECK(former->log->dump(quorum.clock.now()).role() == "learner");
+    CHECK(quorum.submitToLeader(makeCommand("b", "10.0.0.2")).outcome() == schema::OUTCOME_ACCEPTED);
+    quorum.run(Duration(500));
+    CHECK(former->log->configuration().backends_size() == 2);
+    // Three voters: one of them and the former leader may be lost.
+    former->crash();
+    leader->crash();
+    quorum.run(Duration(5000));
+    CHECK(quorum.leader() != nullptr);
+}
+
+// Guards against a demotion that leaves no majority that answers.
+TEST_CASE("a demotion that would leave no majority is rejected")
+{
+    TestQuorum quorum(3, 12);
+    CHECK(quorum.submitToLeader(makeCommand("a", "10.0.0.1")).outcome() == schema::OUTCOME_ACCEPTED);
+    TestMember* leader = quorum.leader();
+    REQUIRE(leader != nullptr);
+    TestMember& dead = *quorum.members[leader == quorum.members[2].get() ? 1 : 2];
+    TestMember& alive
+        = *quorum.members[leader == quorum.members[0].get() ? (&dead == quorum.members[1].get() ? 2 : 1) : 0];
+    dead.crash();
+    quorum.run(Duration(1000));
+    CHECK(quorum.submitToLeader(demoteMember("alive", alive.identity)).code() == number(ResultCode::MajorityLoss));
+    CHECK(quorum.submitToLeader(demoteMember("dead", dead.identity)).outcome() == schema::OUTCOME_ACCEPTED);
+    CHECK(quorum.submitToLeader(demoteMember("again", dead.identity)).code() == number(ResultCode::MemberExists));
+    CHECK(quorum.submitToLeader(makeCommand("b", "10.0.0.2")).outcome() == schema::OUTCOME_ACCEPTED);
+}
+
 // Guards against a host that reports a command as accepted after its disk has failed.
 TEST_CASE("after a failed sync a member rejects commands and still serves reads")
 {
--- a/src/libbergamot/runbook/apply_change.cpp
+++ b/src/libbergamot/runbook/apply_change.cpp
@@ -81,12 +81,12 @@
         return true;
     }
 
-    bool promoteMember(const std::string& identity, schema::Configuration& configuration)
+    bool setVoter(const std::string& identity, bool votes, schema::Configuration& configuration)
     {
         schema::ControlMember* member = findIn(*configuration.mutable_control_members(), hasIdentity(identity));
-        if (member == nullptr || member->voter())
+        if (member == nullptr || member->voter() == votes)
             return false;
-        member->set_voter(true);
+        member->set_voter(votes);
         return true;
     }
 
@@ -114,7 +114,9 @@
         return upsert(*configuration.mutable_control_members(), change.add_control_member(),
             hasIdentity(change.add_control_member().identity()));
     case schema::Change::kPromoteControlMember:
-        return promoteMember(change.promote_control_member(), configuration);
+        return setVoter(change.promote_control_member(), true, configuration);
+    case schema::Change::kDemoteControlMember:
+        return setVoter(change.demote_control_member(), false, configuration);
     case schema::Change::kRemoveControlMember:
         return eraseFrom(*configuration.mutable_control_members(), hasIdentity(change.remove_control_member()));
     case schema::Change::kPutDocument:
--- a/src/libbergamot/runbook/describe_change.cpp
+++ b/src/libbergamot/runbook/describe_change.cpp
@@ -62,6 +62,8 @@
             + change.add_control_member().rpc_endpoint();
     case schema::Change::kPromoteControlMember:
         return "promote control member " + change.promote_control_member();
+    case schema::Change::kDemoteControlMember:
+        return "demote control member " + change.demote_control_member();
     case schema::Change::kRemoveControlMember:
         return "remove control member " + change.remove_control_member();
     case schema::Change::kPutDocument:
--- a/src/libbergamot/runbook/safety_check.cpp
+++ b/src/libbergamot/runbook/safety_check.cpp
@@ -148,6 +148,7 @@
     }
     const bool changesVoters = anyOf(changes, [](const schema::Change& change) {
         return change.change_case() == schema::Change::kRemoveControlMember
+            || change.change_case() == schema::Change::kDemoteControlMember
             || change.change_case() == schema::Change::kPromoteControlMember;
     });
     return changesVoters ? checkControlHosts(next, view) : SafetyViolation {};
--- a/src/libbergamotio/quorum_host.cpp
+++ b/src/libbergamotio/quorum_host.cpp
@@ -241,6 +241,13 @@
 
 bool QuorumHost::hasRecentQuorum(Duration within) const { return m_log->hasQuorumContact(within, m_loop.now()); }
 
+bool QuorumHost::isVoter() const
+{
+    const std::vector<schema::ControlMember>& members = m_log->members();
+    return std::any_of(members.begin(), members.end(),
+        [this](const schema::ControlMember& member) { return member.voter() && member.identity() == m_identity; });
+}
+
 void QuorumHost::advance()
 {
     m_log->advance(m_loop.now());
--- a/src/libbergamotio/quorum_host.h
+++ b/src/libbergamotio/quorum_host.h
@@ -66,6 +66,10 @@
     const LogStorage& storage() const { return *m_storage; }
     const PeerLinks& links() const { return m_links; }
     const std::string& identity() const { return m_identity; }
+
+    /// @return whether this host is a member that votes.
+    bool isVoter() const;
+
     std::size_t pendingCommands() const { return m_answers.size(); }
 
     /// Remembers where a member listens.
--- a/src/soak/fleet.py
+++ b/src/soak/fleet.py
@@ -58,21 +58,32 @@
         self.folder = Path(folder)
         shutil.rmtree(self.folder, ignore_errors=True)
         self.folder.mkdir(parents=True)
-        addresses = [f"127.{net}.1.{i + 1}" for i in range(control_count)]
-        self.operators = [f"{address}:{OPERATOR_PORT}" for address in addresses]
-        seeds = self.operators[:3]
-        self.controls = [
-            Host(f"{binaries}/bergamot-directory", f"control-{i + 1}", ZONES[i % len(ZONES)], address,
-                 {"operator_listen": self.operators[i], "data_folder": str(self.folder / f"disk-{i + 1}"),
-                  "seeds": seeds, "data_centres": list(ZONES), "bootstrap": True}, self.folder)
-            for i, address in enumerate(addresses)]
+        self.binaries, self.net = binaries, net
+        self.operators, self.controls = [], []
+        self.seeds = [f"{self._control_address(i)}:{OPERATOR_PORT}" for i in range(min(control_count, 3))]
+        for i in range(control_count):
+            self.add_control(ZONES[i % len(ZONES)], bootstrap=True)
         self.entries = [
             Host(f"{binaries}/bergamot-entry", f"entry-{i + 1}", ZONES[i % len(ZONES)], f"127.{net}.2.{i + 1}",
                  {"packet_listen": f"127.{net}.2.{i + 1}:{PACKET_PORT}",
-                  "readiness_listen": f"127.{net}.2.{i + 1}:{READY_PORT}", "seeds": seeds, "grace_seconds": 2},
+                  "readiness_listen": f"127.{net}.2.{i + 1}:{READY_PORT}", "seeds": self.seeds, "grace_seconds": 2},
                  self.folder)
             for i in range(entry_count)]
 
+    def _control_address(self, number):
+        return f"127.{self.net}.1.{number + 1}"
+
+    def add_control(self, zone, bootstrap=False):
+        """Makes a control host at a new address with an empty disk; the caller starts it."""
+        number = len(self.controls)
+        address = self._control_address(number)
+        self.operators.append(f"{address}:{OPERATOR_PORT}")
+        settings = {"operator_listen": self.operators[-1], "data_folder": str(self.folder / f"disk-{number + 1}"),
+                    "seeds": self.seeds, "data_centres": list(ZONES), "bootstrap": bootstrap}
+        self.controls.append(Host(f"{self.binaries}/bergamot-directory", f"control-{number + 1}", zone, address, settings,
+                                  self.folder))
+        return self.controls[-1]
+
     def hosts(self):
         return self.controls + self.entries
 
--- a/src/standins/fakecontrol/fake_configuration.cpp
+++ b/src/standins/fakecontrol/fake_configuration.cpp
@@ -80,11 +80,13 @@
             *members.Add() = change.add_control_member();
             return ResultCode::Ok;
         }
-        if (change.change_case() == schema::Change::kPromoteControlMember) {
-            schema::ControlMember* member = findIn(members, isMember(change.promote_control_member()));
+        const bool promotes = change.change_case() == schema::Change::kPromoteControlMember;
+        if (promotes || change.change_case() == schema::Change::kDemoteControlMember) {
+            schema::ControlMember* member = findIn(
+                members, isMember(promotes ? change.promote_control_member() : change.demote_control_member()));
             if (member == nullptr)
                 return ResultCode::MemberUnknown;
-            member->set_voter(true);
+            member->set_voter(promotes);
             return ResultCode::Ok;
         }
         return eraseFrom(members, isMember(change.remove_control_member())) ? ResultCode::Ok
@@ -113,6 +115,7 @@
             return ResultCode::Ok;
         case schema::Change::kAddControlMember:
         case schema::Change::kPromoteControlMember:
+        case schema::Change::kDemoteControlMember:
         case schema::Change::kRemoveControlMember:
             return applyMember(configuration, change);
         case schema::Change::CHANGE_NOT_SET:
