Refuse texts that are no UTF-8 where they enter, and leave out unreadable target records alone

Callers saw: a target drained, the drain was acknowledged, and a third of the new flows still went to it 3.5 to 7.5 s later. Before that, another writer had sent each control host a heartbeat whose Version is no UTF-8, answered with 200. Likewise a configuration with such a name was acknowledged and never in force, while each entry host asked for it without a pause.

Cause: JsonCpp does not check UTF-8, and the messages of the registry have proto3 fields of type string. A message with such a text is serialized, but its receiver cannot parse any of it. The record stayed among the changes to send, so that the control host exchanged nothing any more, with control hosts or entry hosts, and whenReplicated() took its peers for lost.

Change: HttpServer refuses a call whose decoded path, query or body is no UTF-8 with 400, for all programs and routes. parseJsonText(), which all readers of outside JSON now share, also refuses escapes that stand for no text (half a surrogate pair). The texts of TargetRecord, RouteRecord and RoutingTable are bytes, with the same form on the wire, so that a record of an earlier version or of the stored registry no longer keeps a message from being parsed; TargetRegistry::merge() leaves it out alone.

Evidence: protobuf's line "contains invalid UTF-8 data when parsing" on each receiver and a growing failed_exchanges_total. That metric did not tell a refused connection from an unreadable message: unreadable_exchanges_total, unreadable_targets_total and a PeerMessageMalformed line are new. Ruled out: the registry's order of heartbeats; without the odd heartbeats the course held.

--- a/src/bergamot-directory/directory_replicator.cpp
+++ b/src/bergamot-directory/directory_replicator.cpp
@@ -131,10 +131,14 @@
             Peer& called = m_peers.at(endpoint);
             called.callPending = false;
             schema::DirectoryExchange response;
-            if (!result.succeeded() || !response.ParseFromString(result.body)) {
+            if (!result.succeeded()) {
                 ++m_failedCalls;
                 return;
             }
+            if (!response.ParseFromString(result.body)) {
+                reportUnreadable(endpoint, result.body.size());
+                return;
+            }
             if (!called.hasResponded || m_loop.now() - called.lastResponse >= peerTimeout)
                 writeLog(LogLevel::Info, ResultCode::ControlHostFound, "control host responds",
                     { { "peer", response.sender().host() }, { "endpoint", endpoint } });
@@ -163,10 +167,20 @@
         m_hostStopping();
 }
 
+void DirectoryReplicator::reportUnreadable(const std::string& sender, std::size_t bytes)
+{
+    ++m_unreadableMessages;
+    writeLog(LogLevel::Warning, ResultCode::PeerMessageMalformed, "cannot parse a message of a control host",
+        { { "peer", sender }, { "bytes", std::to_string(bytes) } });
+}
+
 void DirectoryReplicator::handleCall(const std::string& body, const RpcReply& reply)
 {
     schema::DirectoryExchange message;
-    Peer* peer = message.ParseFromString(body) ? findOrAddPeer(message.sender().rpc_endpoint()) : nullptr;
+    const bool isReadable = message.ParseFromString(body);
+    if (!isReadable)
+        reportUnreadable({}, body.size());
+    Peer* peer = isReadable ? findOrAddPeer(message.sender().rpc_endpoint()) : nullptr;
     if (!peer) {
         reply.send(statusBadRequest, {});
         return;
--- a/src/bergamot-directory/directory_replicator.h
+++ b/src/bergamot-directory/directory_replicator.h
@@ -64,6 +64,7 @@
 
     std::uint64_t epoch() const { return m_epoch; }
     std::uint64_t failedCalls() const { return m_failedCalls; }
+    std::uint64_t unreadableMessages() const { return m_unreadableMessages; }
     const HeartbeatDigestCounters& digestCounters() const { return m_digestCounters; }
 
 private:
@@ -87,6 +88,8 @@
     schema::DirectoryExchange makeMessage(Peer& peer);
     void applyMessage(const schema::DirectoryExchange& message, Peer& peer);
     void handleCall(const std::string& body, const RpcReply& reply);
+    /// @param sender endpoint of the host that sent the message; empty if it is not known.
+    void reportUnreadable(const std::string& sender, std::size_t bytes);
     Peer* findOrAddPeer(const std::string& endpoint);
     bool isResponsive(const Peer& peer, TimePoint now) const;
     void finishWaiters();
@@ -105,6 +108,7 @@
     std::function<void()> m_hostStopping;
     std::uint64_t m_roundCount = 0;
     std::uint64_t m_failedCalls = 0;
+    std::uint64_t m_unreadableMessages = 0;
     bool m_hasFullRegistry = false;
     Timer m_roundTimer;
     Timer m_waiterTimer;
--- a/src/bergamot-directory/operator_routes.cpp
+++ b/src/bergamot-directory/operator_routes.cpp
@@ -195,6 +195,10 @@
         static_cast<double>(m_entrySync.pendingCallCount()));
     add("failed_exchanges_total", "Failed registry exchanges with control hosts.",
         static_cast<double>(m_replicator.failedCalls()));
+    add("unreadable_exchanges_total", "Messages of control hosts that could not be parsed.",
+        static_cast<double>(m_replicator.unreadableMessages()));
+    add("unreadable_targets_total", "Target records ignored because they name no target.",
+        static_cast<double>(m_registry.unreadableRecords()));
     const HeartbeatDigestCounters& digest = m_replicator.digestCounters();
     add("target_records_sent_total", "Whole target records sent to control hosts.",
         static_cast<double>(digest.recordsSent));
--- a/src/bergamot-entry/entry_metrics.cpp
+++ b/src/bergamot-entry/entry_metrics.cpp
@@ -92,6 +92,8 @@
     const CapacitySummary capacity = m_steering.capacitySummary();
     add("max_target_slowness", "Learned response time of the slowest target relative to a typical one; 1 is typical.",
         capacity.maxSlowness);
+    add("unreadable_targets_total", "Target records ignored because they name no target.",
+        static_cast<double>(m_registry.unreadableRecords()));
     add("slow_targets", "Targets that are learned to be more than twice as slow as a typical one.",
         static_cast<double>(capacity.slowTargets));
     add("limited_targets", "Targets with a limit on outstanding requests, because they have refused some.",
--- a/src/include/bergamotroute/target_registry.h
+++ b/src/include/bergamotroute/target_registry.h
@@ -110,7 +110,7 @@
     /// Sets whether a later end of slow start is an event: only a limit on targets in slow start needs it.
     void setSlowStartEvents(bool enabled) { m_options.slowStartEvents = enabled; }
 
-    /// Merges a record. Ages in the record are relative to now.
+    /// Merges a record. Ages in the record are relative to now. A record that names no target (findFault()) is ignored.
     /// @param isHeartbeat the target itself sent the record to this host. A plain heartbeat that another host reports
     /// is not a change here, so that each heartbeat is propagated once.
     TargetEvent merge(const schema::TargetRecord& record, bool isHeartbeat, TimePoint now);
@@ -140,6 +140,9 @@
     /// here.
     std::uint64_t lastChange() const { return m_lastChange; }
 
+    /// @return number of records that were ignored because they name no target.
+    std::uint64_t unreadableRecords() const { return m_unreadableRecords; }
+
     /// @return sequence number of the last event other than Refreshed.
     std::uint64_t lastEvent() const { return m_lastEvent; }
 
@@ -186,6 +189,7 @@
     /// Index by lastChange: a round for each peer must not visit all targets.
     std::map<std::uint64_t, const RegisteredTarget*> m_targetsByChange;
     std::unordered_map<std::uint32_t, const RegisteredTarget*> m_targetsByRefreshKey;
+    std::uint64_t m_unreadableRecords = 0;
     std::uint64_t m_lastChange = 0;
     std::uint64_t m_lastEvent = 0;
     std::uint64_t m_lastContentRevision = 0;
--- a/src/libbergamot/cookie/routing_record_test.cpp
+++ b/src/libbergamot/cookie/routing_record_test.cpp
@@ -115,3 +115,15 @@
     changed.mutable_routes(0)->set_port(65'536);
     CHECK_FALSE(fromProto(changed));
 }
+
+TEST_CASE("a routing table with a name that is no UTF-8 is read")
+{
+    // Guards against a document that an earlier version accepted and that no entry host can put into force.
+    RoutingDocument document = makeDocument(2);
+    document.routes[0].name = "\xff\xfe";
+    schema::RoutingTable table;
+    REQUIRE(table.ParseFromString(toProto(document).SerializeAsString()));
+    const std::optional<RoutingDocument> read = fromProto(table);
+    REQUIRE(read.has_value());
+    CHECK(read->routes[0].name == "\xff\xfe");
+}
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -1,5 +1,7 @@
 #include "bergamotroute/target_registry.h"
 
+#include "bergamotroute/target_record_check.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -52,6 +54,10 @@
 
 TargetEvent TargetRegistry::merge(const schema::TargetRecord& record, bool isHeartbeat, TimePoint now)
 {
+    if (!findFault(record).empty()) {
+        ++m_unreadableRecords;
+        return TargetEvent::Ignored;
+    }
     const auto found = m_targets.find(record.id());
     const bool isNew = found == m_targets.end() || found->second.record.born_ms() < record.born_ms();
     if (!isNew && isOlder(record, found->second.record))
--- a/src/libbergamot/directory/target_registry_test.cpp
+++ b/src/libbergamot/directory/target_registry_test.cpp
@@ -257,3 +257,27 @@
     CHECK(registry.digest(clock.now()) != 0);
     CHECK(isSame());
 }
+
+TEST_CASE_FIXTURE(Fixture, "a record whose text is no UTF-8 is left out alone, and the others hold")
+{
+    // Guards against one record, of an earlier version or another writer, that keeps a message or the stored registry
+    // from being read.
+    schema::SavedDirectory directory;
+    for (const char* id : { "i-1", "i-2", "i-3" })
+        *directory.add_targets()
+            = makeHeartbeat(id, 100, 1, schema::TARGET_READY, "10.0.0." + std::string(id + 2) + ":80");
+    directory.mutable_targets(1)->set_software_version("\xff\xfe");
+    schema::SavedDirectory received;
+    REQUIRE(received.ParseFromString(directory.SerializeAsString()));
+    for (const schema::TargetRecord& record : received.targets())
+        registry.merge(record, false, clock.now());
+    CHECK(registry.find("i-1") != nullptr);
+    CHECK(registry.find("i-2") == nullptr);
+    CHECK(registry.find("i-3") != nullptr);
+    for (const char* text : { "\xc3", "\xed\xb0\x80" }) {
+        schema::TargetRecord record = makeHeartbeat("i-4", 100, 1);
+        record.set_service(text);
+        CHECK(merge(record) == TargetEvent::Ignored);
+    }
+    CHECK(registry.find("i-4") == nullptr);
+}
--- a/src/libbergamotio/http_server.cpp
+++ b/src/libbergamotio/http_server.cpp
@@ -1,10 +1,12 @@
 #include "libbergamotio/http_server.h"
 
 #include "bergamotroute/result_code.h"
+#include "bergamotroute/utf8.h"
 #include "libbergamotio/json_schema.h"
 #include "libbergamotio/log.h"
 #include "libbergamotio/socket_address.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -125,6 +127,13 @@
     return decoded ? std::string(decoded.get(), length) : m_path;
 }
 
+bool HttpExchange::hasReadableText() const
+{
+    const bool isQueryReadable = std::all_of(m_query.begin(), m_query.end(),
+        [](const auto& parameter) { return isUtf8(parameter.first) && isUtf8(parameter.second); });
+    return isQueryReadable && isUtf8(decodedPath()) && isUtf8(m_body);
+}
+
 bool HttpExchange::hasClientLeft() const
 {
     if (m_request == nullptr)
@@ -272,6 +281,13 @@
         exchange->replyError(HttpStatus::Unauthorized, ResultCode::Unauthorized, "wrong or missing bearer token");
         return;
     }
+    if (!exchange->hasReadableText()) {
+        writeLog(LogLevel::Warning, ResultCode::HttpBadRequest, "refused a request that is not valid UTF-8",
+            { { "source", exchange->source().toString() }, { "method", exchange->method() },
+                { "path", exchange->path() } });
+        exchange->replyError(HttpStatus::BadRequest, ResultCode::HttpBadRequest, "the request is not valid UTF-8");
+        return;
+    }
     route->second.handler(exchange);
 }
 
--- a/src/libbergamotio/http_server.h
+++ b/src/libbergamotio/http_server.h
@@ -60,6 +60,9 @@
     /// @return value of a request header, or empty.
     std::string header(const std::string& name) const;
 
+    /// @return whether the decoded path, the query and the body are UTF-8.
+    bool hasReadableText() const;
+
     /// @return true once the client has closed the connection.
     bool isClosed() const { return m_request == nullptr; }
 
--- a/src/libbergamotio/http_test.cpp
+++ b/src/libbergamotio/http_test.cpp
@@ -156,3 +156,28 @@
     exchangeBytes(loop, server, head, true);
     CHECK(left == std::vector<bool> { false, true });
 }
+
+TEST_CASE("a call with a text that is no UTF-8 is refused before its handler")
+{
+    // Guards against a text of one caller that enters messages which no other host can parse.
+    EventLoop loop;
+    HttpServer server(loop);
+    REQUIRE_FALSE(server.listen(freePort()));
+    int calls = 0;
+    server.route("PUT", "/orders/", HttpAccess::Open, [&](const std::shared_ptr<HttpExchange>& exchange) {
+        ++calls;
+        exchange->reply(HttpStatus::Ok, "");
+    });
+    const auto put = [&](const std::string& path, const std::string& body) {
+        return exchangeBytes(loop, server,
+            "PUT " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                + body);
+    };
+    CHECK(put("/orders/%C3%A9", "gr\xc3\xbc\xc3\x9f").starts_with("HTTP/1.1 200"));
+    CHECK(calls == 1);
+    for (const char* path : { "/orders/%FF", "/orders/%ED%B0%80", "/orders/a?by=%C3", "/orders/a?by=%FE%FF" })
+        CHECK(put(path, "").starts_with("HTTP/1.1 400"));
+    for (const char* body : { "\xff\xfe", "\xc3", "\xed\xb0\x80", "\xc0\x80", "\xf5\x80\x80\x80" })
+        CHECK(put("/orders/a", body).starts_with("HTTP/1.1 400"));
+    CHECK(calls == 1);
+}
--- a/src/libbergamotio/json_schema.cpp
+++ b/src/libbergamotio/json_schema.cpp
@@ -1,5 +1,6 @@
 #include "libbergamotio/json_schema.h"
 
+#include "bergamotroute/json_text.h"
 #include "bergamotroute/result_code.h"
 #include "bergamotroute/types.h"
 
@@ -35,8 +36,7 @@
         builder["allowComments"] = true;
         builder["rejectDupKeys"] = true;
         builder["failIfExtra"] = true;
-        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        return reader->parse(text.data(), text.data() + text.size(), &root, &faults);
+        return parseJsonText(text, builder, root, faults);
     }
 
     class MessageReader {
--- a/src/libbergamotio/json_schema_test.cpp
+++ b/src/libbergamotio/json_schema_test.cpp
@@ -6,6 +6,7 @@
 #include "settings.pb.h"
 
 #include <doctest/doctest.h>
+#include <sstream>
 
 using namespace bergamotroute;
 
@@ -91,3 +92,14 @@
     CHECK(parseJsonMessage("{\"time_ms\": \"12x\"}", "report", *std::make_unique<schema::LoadReport>()).code
         == ResultCode::SettingsWrongType);
 }
+
+// Guards against a setting or command whose text is stored in messages that no host can parse.
+TEST_CASE("a text that is no UTF-8 is refused, also where an escape stands for it")
+{
+    for (const char* text : { "\xff", R"(\udc00)" }) {
+        const std::size_t at = minimal.find("c1");
+        std::ostringstream settings;
+        settings << minimal.substr(0, at) << text << minimal.substr(at + 2);
+        CHECK(parse(settings.str()).code == ResultCode::SettingsSyntax);
+    }
+}
