--- a/src/bergamot-directory/directory_daemon.h
+++ b/src/bergamot-directory/directory_daemon.h
@@ -48,6 +48,7 @@
         std::uint64_t heartbeats = 0;
         std::uint64_t heartbeatsRefused = 0;
         std::uint64_t leaves = 0;
+        std::uint64_t leavesRefused = 0;
         std::uint64_t documentsAccepted = 0;
         std::uint64_t documentsOvertaken = 0;
         std::uint64_t documentsRefused = 0;
--- a/src/bergamot-directory/operator_routes.cpp
+++ b/src/bergamot-directory/operator_routes.cpp
@@ -148,8 +148,17 @@
 
 void DirectoryDaemon::deleteTarget(const ExchangePointer& exchange)
 {
+    const std::string id = targetIdFromPath(*exchange);
+    const std::optional<std::uint64_t> startTimeMs = m_protocol.readLeave(exchange->body());
+    if (!startTimeMs) {
+        // Without the start time the request could end a later incarnation than the one that it names.
+        ++m_counters.leavesRefused;
+        writeLog(LogLevel::Warning, ResultCode::AnnouncementMalformed, "leave request rejected", { { "target", id } });
+        replyError(exchange, HttpStatus::BadRequest, "the leave request cannot be read");
+        return;
+    }
     ++m_counters.leaves;
-    m_registry.remove(targetIdFromPath(*exchange), m_protocol.readLeave(exchange->body()), m_loop.now());
+    m_registry.remove(id, *startTimeMs, m_loop.now());
     acknowledgeWhenReplicated(exchange);
 }
 
@@ -172,6 +181,8 @@
     add("heartbeats_refused_total", "Rejected heartbeats that do not describe a valid target.",
         static_cast<double>(m_counters.heartbeatsRefused));
     add("leaves_total", "Leave requests from targets.", static_cast<double>(m_counters.leaves));
+    add("leaves_refused_total", "Rejected leave requests that cannot be read.",
+        static_cast<double>(m_counters.leavesRefused));
     add("documents_accepted_total", "Documents accepted by the quorum.",
         static_cast<double>(m_counters.documentsAccepted));
     add("documents_overtaken_total",
--- a/src/include/bergamotroute/operator_protocol.h
+++ b/src/include/bergamotroute/operator_protocol.h
@@ -41,8 +41,9 @@
     virtual std::optional<schema::TargetRecord> readHeartbeat(
         std::string_view id, std::string_view body, std::string& error) const = 0;
 
-    /// @return start time of the incarnation that a leave names, in ms since the Unix epoch; zero if it names none.
-    virtual std::uint64_t readLeave(std::string_view body) const = 0;
+    /// @return start time of the incarnation that a leave request names, in ms since the Unix epoch; zero if it names
+    /// none, and nothing if the body cannot be read.
+    virtual std::optional<std::uint64_t> readLeave(std::string_view body) const = 0;
 
     /// @return body of the response to a heartbeat.
     virtual std::string heartbeatResponse() const = 0;
--- a/src/include/bergamotroute/target_record_check.h
+++ b/src/include/bergamotroute/target_record_check.h
@@ -11,6 +11,6 @@
 namespace bergamotroute {
 
 /// @return why the record names no target; empty if it names one.
-std::string findFault(const schema::TargetRecord& record);
+std::string findRecordFault(const schema::TargetRecord& record);
 
 }
--- a/src/include/bergamotroute/target_registry.h
+++ b/src/include/bergamotroute/target_registry.h
@@ -110,7 +110,8 @@
     /// Sets whether a later end of slow start is an event: only a limit on targets in slow start needs it.
     void setSlowStartEvents(bool enabled) { m_options.slowStartEvents = enabled; }
 
-    /// Merges a record. Ages in the record are relative to now. A record that names no target (findFault()) is ignored.
+    /// Merges a record. Ages in the record are relative to now. A record that names no target (findRecordFault()) is
+    /// ignored.
     /// @param isHeartbeat the target itself sent the record to this host. A plain heartbeat that another host reports
     /// is not a change here, so that each heartbeat is propagated once.
     TargetEvent merge(const schema::TargetRecord& record, bool isHeartbeat, TimePoint now);
--- a/src/libbergamot/base/json_text.cpp
+++ b/src/libbergamot/base/json_text.cpp
@@ -41,8 +41,14 @@
         return false;
     }
     const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &fault))
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &value, &fault))
+            return false;
+    } catch (const Json::Exception& exception) {
+        // The parser throws at a text that is nested too deeply.
+        fault = exception.what();
         return false;
+    }
     const bool hasEscapes = text.find("\\u") != std::string_view::npos;
     if (hasEscapes && !areStringsUtf8(value)) {
         fault = notUtf8;
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -54,7 +54,7 @@
 
 TargetEvent TargetRegistry::merge(const schema::TargetRecord& record, bool isHeartbeat, TimePoint now)
 {
-    if (!findFault(record).empty()) {
+    if (!findRecordFault(record).empty()) {
         ++m_unreadableRecords;
         return TargetEvent::Ignored;
     }
--- a/src/libbergamotio/json_schema_test.cpp
+++ b/src/libbergamotio/json_schema_test.cpp
@@ -103,3 +103,28 @@
         CHECK(parse(settings.str()).code == ResultCode::SettingsSyntax);
     }
 }
+
+// Guards against a process that ends because a caller's text is nested more deeply than the parser allows.
+TEST_CASE("a text that is nested too deeply is refused with a message")
+{
+    constexpr std::size_t depth = 100'000;
+    const std::string lists(depth, '[');
+    std::string objects;
+    for (std::size_t i = 0; i < depth; ++i)
+        objects += R"({"host":)";
+    for (const std::string& text : { lists, objects, R"({"host":)" + lists }) {
+        const InputError error = parse(text);
+        CHECK(error.code == ResultCode::SettingsSyntax);
+        CHECK_FALSE(error.message.empty());
+    }
+}
+
+// Guards against a number that is cut to the size of its field.
+TEST_CASE("a number beyond the range of its field is refused")
+{
+    for (const char* number : { "4294967296", "18446744073709551616", "1e400", "-1", "1e30" }) {
+        std::string text(minimal.substr(0, minimal.rfind('}')));
+        text.append(R"(, "heartbeat_ms": )").append(number).append("}");
+        CHECK(parse(text));
+    }
+}
