Let every member of the quorum take part again once its disk has room

Seen here: with bergamot-control, after the second of three full disks no command was decided any more.

Cause: a member whose write has failed stops, because the state of unsynced pages is not known after a failed sync. Only members with the option `recovers` opened their folder again, so that two full disks in turn took two of three voters of bergamot-control.

Change: every member opens its folder again after a failed write. StorageOpening::AfterFailure then writes the log to a new file: it fails while there is no room, where reading alone succeeded and the member came back and stopped again every 0.5 s, and it makes entries durable before they count. Damage that is found then is handled as at the start instead of being tried again without end. Repeated failures of these attempts are logged once.

--- a/src/libbergamot/base/result_code.cpp
+++ b/src/libbergamot/base/result_code.cpp
@@ -108,7 +108,8 @@
             "The outcome of the command is unknown; retry with the same request identifier." },
         { ResultCode::LeaseExpired, "LeaseExpired", "The leader's lease has expired; the answer may be outdated." },
         { ResultCode::StorageFailed, "StorageFailed",
-            "A write or sync failed; the control host accepts no commands until it is restarted with a working disk." },
+            "A write or sync failed; the control host accepts no commands until its data folder can be written "
+            "again." },
         { ResultCode::LogDamaged, "LogDamaged",
             "A record inside the log is damaged; replace this control host (docs/RUNBOOKS.md)." },
         { ResultCode::LogTornRecordCut, "LogTornRecordCut",
--- a/src/libbergamotio/log_storage.cpp
+++ b/src/libbergamotio/log_storage.cpp
@@ -72,11 +72,13 @@
     return identity;
 }
 
-StorageReport LogStorage::open(const std::string& folder, StoredLog& stored)
+StorageReport LogStorage::open(const std::string& folder, StoredLog& stored, StorageOpening opening)
 {
     m_folder = folder;
     StorageReport report;
     report.error = openFiles(stored, report);
+    if (!report.error && opening == StorageOpening::AfterFailure && rewriteLog(stored))
+        report.error = failed(report, "cannot write to " + m_folder);
     m_failed = static_cast<bool>(report.error);
     return report;
 }
@@ -220,11 +222,28 @@
         *base.mutable_hard_state() = *request.hardState;
     for (const schema::LogEntry& entry : request.entries)
         *base.add_entries() = entry;
+    return writeBase(base);
+}
+
+std::error_code LogStorage::writeBase(const schema::StoredRecord& base)
+{
     if (const std::error_code error = replaceFile(m_folder, logName, makeFrame(base.SerializeAsString())))
         return error;
     return openLogForAppend();
 }
 
+std::error_code LogStorage::rewriteLog(const StoredLog& stored)
+{
+    schema::StoredRecord base;
+    base.set_is_base(true);
+    base.set_base_index(stored.baseIndex);
+    base.set_base_term(stored.baseTerm);
+    *base.mutable_hard_state() = stored.hardState;
+    for (const schema::LogEntry& entry : stored.entries)
+        *base.add_entries() = entry;
+    return writeBase(base);
+}
+
 std::error_code LogStorage::writePending()
 {
     const std::string frame = makeFrame(m_pending.SerializeAsString());
--- a/src/libbergamotio/log_storage.h
+++ b/src/libbergamotio/log_storage.h
@@ -24,13 +24,21 @@
     bool newIdentity = false;
 };
 
+/// When a data folder is opened.
+enum class StorageOpening {
+    AtStart,
+    /// After a write or sync of this process failed. What the files show may not be on the disk then, so that the log
+    /// is written anew, which also proves that the disk has room again.
+    AfterFailure,
+};
+
 /// Appends to the log file. After the first failure nothing is written any more: the state of unsynced pages is not
 /// known after a failed sync.
 class LogStorage {
 public:
     /// Opens or creates the files and locks the folder against a second process.
     /// @param[out] stored what the files hold; the hard state has an identity.
-    StorageReport open(const std::string& folder, StoredLog& stored);
+    StorageReport open(const std::string& folder, StoredLog& stored, StorageOpening opening = StorageOpening::AtStart);
 
     /// Adds a request to the next sync.
     void add(const PersistRequest& request);
@@ -50,6 +58,9 @@
     std::error_code loadSnapshot(StoredLog& stored, StorageReport& report);
     std::error_code loadLog(StoredLog& stored, StorageReport& report);
     std::error_code openLogForAppend();
+    /// Replaces the log file by one with the same content.
+    std::error_code rewriteLog(const StoredLog& stored);
+    std::error_code writeBase(const schema::StoredRecord& base);
     std::error_code writeSnapshot(const PersistRequest& request);
     std::error_code writePending();
 
--- a/src/libbergamotio/log_storage_test.cpp
+++ b/src/libbergamotio/log_storage_test.cpp
@@ -45,6 +45,31 @@
     std::string m_path;
 };
 
+/// A file limit, which fails a write as a full disk does, for the life of this object.
+class FullDisk {
+public:
+    /// @param bytes length up to which files can still be written.
+    explicit FullDisk(rlim_t bytes)
+        : m_previousHandler(std::signal(SIGXFSZ, SIG_IGN))
+    {
+        getrlimit(RLIMIT_FSIZE, &m_limit);
+        rlimit small = m_limit;
+        small.rlim_cur = bytes;
+        setrlimit(RLIMIT_FSIZE, &small);
+    }
+    ~FullDisk()
+    {
+        setrlimit(RLIMIT_FSIZE, &m_limit);
+        std::signal(SIGXFSZ, m_previousHandler);
+    }
+    FullDisk(const FullDisk&) = delete;
+    FullDisk& operator=(const FullDisk&) = delete;
+
+private:
+    void (*m_previousHandler)(int);
+    rlimit m_limit {};
+};
+
 PersistRequest entryRequest(std::uint64_t index, std::uint64_t term = 1)
 {
     PersistRequest request;
@@ -172,16 +197,12 @@
     REQUIRE_FALSE(storage.open(folder.path(), stored).error);
     storage.add(entryRequest(1));
     REQUIRE_FALSE(storage.sync());
-    const auto previous = std::signal(SIGXFSZ, SIG_IGN);
-    rlimit limit {};
-    getrlimit(RLIMIT_FSIZE, &limit);
-    rlimit small = limit;
-    small.rlim_cur = storage.logBytes() + 5;
-    setrlimit(RLIMIT_FSIZE, &small);
-    storage.add(entryRequest(2));
-    const std::error_code whileFull = storage.sync();
-    setrlimit(RLIMIT_FSIZE, &limit);
-    std::signal(SIGXFSZ, previous);
+    std::error_code whileFull;
+    {
+        const FullDisk disk(storage.logBytes() + 5);
+        storage.add(entryRequest(2));
+        whileFull = storage.sync();
+    }
     CHECK(whileFull == ResultCode::StorageFailed);
     storage.add(entryRequest(2));
     CHECK(storage.sync() == ResultCode::StorageFailed);
@@ -191,3 +212,30 @@
     CHECK(report.tornRecordCut);
     CHECK(again.entries.size() == 1);
 }
+
+// Guards against a member that takes part again although its disk still refuses every write, and against one that
+// trusts entries which a failed sync may not have put on the disk.
+TEST_CASE("after a failure the log is opened only when it can be written anew")
+{
+    const Folder folder("reopened");
+    writeEntries(folder, 3);
+    StoredLog stored;
+    {
+        const FullDisk disk(0);
+        CHECK(
+            LogStorage().open(folder.path(), stored, StorageOpening::AfterFailure).error == ResultCode::StorageFailed);
+    }
+    const std::string before = folder.read("log");
+    LogStorage storage;
+    StoredLog again;
+    REQUIRE_FALSE(storage.open(folder.path(), again, StorageOpening::AfterFailure).error);
+    CHECK(again.entries.size() == 3);
+    CHECK(folder.read("log") != before);
+    storage.add(entryRequest(4));
+    REQUIRE_FALSE(storage.sync());
+    storage = LogStorage();
+    StoredLog last;
+    REQUIRE_FALSE(storage.open(folder.path(), last).error);
+    CHECK(last.hardState.identity() == again.hardState.identity());
+    CHECK(last.entries.size() == 4);
+}
--- a/src/libbergamotio/quorum_host.cpp
+++ b/src/libbergamotio/quorum_host.cpp
@@ -52,11 +52,7 @@
 
 std::error_code QuorumHost::open()
 {
-    std::error_code error = openStorage();
-    if (error == ResultCode::LogDamaged && m_options.recovers) {
-        discardStorage();
-        error = openStorage();
-    }
+    const std::error_code error = openUsableStorage(StorageOpening::AtStart);
     if (error && m_options.recovers) {
         m_recoverTimer.start(recoverPause);
         return {};
@@ -64,17 +60,32 @@
     return error;
 }
 
-std::error_code QuorumHost::openStorage()
+std::error_code QuorumHost::openUsableStorage(StorageOpening opening)
+{
+    const std::error_code error = openStorage(opening);
+    if (error != ResultCode::LogDamaged || !m_options.recovers)
+        return error;
+    discardStorage();
+    return openStorage(opening);
+}
+
+void QuorumHost::logStorageReport(const StorageReport& report)
+{
+    if (report.error && report.detail != m_shownStorageFailure)
+        writeLog(LogLevel::Error, static_cast<ResultCode>(report.error.value()), report.detail);
+    else if (!report.error && report.tornRecordCut)
+        writeLog(LogLevel::Warning, ResultCode::LogTornRecordCut, report.detail);
+    m_shownStorageFailure = report.error ? report.detail : std::string();
+}
+
+std::error_code QuorumHost::openStorage(StorageOpening opening)
 {
     StoredLog stored;
     // The folder's lock belongs to the former object.
     m_storage.reset();
     m_storage = std::make_unique<LogStorage>();
-    const StorageReport report = m_storage->open(m_options.dataFolder, stored);
-    if (report.error)
-        writeLog(LogLevel::Error, static_cast<ResultCode>(report.error.value()), report.detail);
-    else if (report.tornRecordCut)
-        writeLog(LogLevel::Warning, ResultCode::LogTornRecordCut, report.detail);
+    const StorageReport report = m_storage->open(m_options.dataFolder, stored, opening);
+    logStorageReport(report);
     if (report.error && m_log)
         return report.error;
     QuorumOptions options = m_options.quorum;
@@ -85,6 +96,8 @@
     if (report.error)
         stored = {};
     m_identityRetired = false;
+    // The requests of the new log are numbered anew.
+    m_lastPersist = 0;
     m_log = std::make_unique<QuorumLog>(std::move(options), std::move(stored), *this, m_loop.now());
     return report.error;
 }
@@ -105,8 +118,10 @@
 {
     if (m_identityRetired)
         discardStorage();
-    if (const std::error_code error = openStorage()) {
-        m_recoverTimer.start(recoverPause);
+    if (const std::error_code error = openUsableStorage(StorageOpening::AfterFailure)) {
+        const bool needsOperator = error == ResultCode::LogDamaged && !m_options.recovers;
+        if (!needsOperator)
+            m_recoverTimer.start(recoverPause);
         return;
     }
     writeLog(LogLevel::Info, ResultCode::StorageRecovered, "data folder opened", { { "identity", m_identity } });
@@ -288,7 +303,7 @@
     const std::uint64_t last = m_lastPersist;
     const std::error_code error = m_storage->sync();
     m_log->handlePersisted(last, !error, m_loop.now());
-    if (error && m_options.recovers)
+    if (error)
         m_recoverTimer.start(recoverPause);
     afterEvent();
 }
--- a/src/libbergamotio/quorum_host.h
+++ b/src/libbergamotio/quorum_host.h
@@ -31,8 +31,9 @@
     std::string rpcEndpoint;
     /// Hosts that form the first quorum; empty waits for a leader that adds this host.
     std::vector<InitialMember> initialMembers;
-    /// Open the folder again after a failure, and go on under a new identity when the old one was removed or its files
-    /// are damaged. Otherwise the member stays stopped until an operator acts.
+    /// Start also with a folder that cannot be opened, and go on under a new identity when the old one was removed or
+    /// its files are damaged. Otherwise the member stays stopped until an operator acts. A folder that has refused a
+    /// write is opened again in both cases.
     bool recovers = false;
 };
 
@@ -94,7 +95,10 @@
     void configurationChanged(const schema::Configuration& configuration) override;
     void logEvent(ResultCode code, std::string_view detail) override;
 
-    std::error_code openStorage();
+    std::error_code openStorage(StorageOpening opening);
+    /// Opens the data folder, and an empty one in place of one that is damaged if this host recovers by itself.
+    std::error_code openUsableStorage(StorageOpening opening);
+    void logStorageReport(const StorageReport& report);
     void discardStorage();
     void startBootstrap();
     void advanceBootstrap();
@@ -119,6 +123,8 @@
     std::uint64_t m_lastPersist = 0;
     bool m_revisionChanged = false;
     bool m_identityRetired = false;
+    /// Last failure in the log; the attempts that follow and fail in the same way are not logged.
+    std::string m_shownStorageFailure;
     std::string m_shownLeader;
     std::string m_shownMembers;
     sigc::signal<void()> m_configurationAccepted;
