Pass over a member whose promotion was refused, and pause after a refused change

Cause: since a promotion is followed by the next change without a pause, a refused promotion was proposed again at once, each time with an entry in the log. A member that cannot be promoted, since its disk is full or it has not caught up, was also chosen again and again, in front of another one that could take the place of a lost voter. Found by reading the change of the voters again.

Change: MemberPolicy::handleRefusal(). The next change waits as before, and the member is passed over for 1 s.

--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -299,13 +299,16 @@
     m_memberChangePending = true;
     writeLog(
         LogLevel::Info, ResultCode::MemberChanged, step->reason, { { "change", step->change.ShortDebugString() } });
-    m_quorum.submit(command, [this](const schema::CommandResult& result) {
+    m_quorum.submit(command, [this, change = step->change](const schema::CommandResult& result) {
         m_memberChangePending = false;
-        // Not from here, because the log is still at work on this change.
-        m_memberTimer.start(Duration(0));
-        if (result.outcome() != schema::OUTCOME_ACCEPTED)
-            writeLog(LogLevel::Warning, static_cast<ResultCode>(result.code()), "membership change was not accepted",
-                { { "detail", result.message() } });
+        if (result.outcome() == schema::OUTCOME_ACCEPTED) {
+            // Not from here, because the log is still at work on this change.
+            m_memberTimer.start(Duration(0));
+            return;
+        }
+        m_memberPolicy.handleRefusal(change, m_loop.now());
+        writeLog(LogLevel::Warning, static_cast<ResultCode>(result.code()), "membership change was not accepted",
+            { { "detail", result.message() } });
     });
 }
 
--- a/src/include/bergamotroute/member_policy.h
+++ b/src/include/bergamotroute/member_policy.h
@@ -36,6 +36,8 @@
     /// Time for which a new member is known before it takes the vote of a running host. Longer than the first start of
     /// a deployment takes to find all hosts, shorter than the time after which a successor may count.
     Duration settleTime { 2000 };
+    /// Time for which a member whose promotion was refused is not promoted.
+    Duration refusalPause { 1000 };
     /// Minimum time between two changes, except after a promotion.
     Duration minChangeInterval { 300 };
 };
@@ -63,6 +65,10 @@
     std::optional<MembershipChange> advance(std::span<const schema::ControlMember> members,
         std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now);
 
+    /// Records that a change that advance() returned was refused. A member that could not be promoted, for example
+    /// because its disk is full, does not stand in the way of another one.
+    void handleRefusal(const schema::Change& change, TimePoint now);
+
     /// Clears the state; to be called when leadership ends.
     void reset();
 
@@ -86,9 +92,12 @@
     std::optional<MembershipChange> findChange(std::span<const schema::ControlMember> members,
         std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const;
     bool isAlive(const std::string& identity, TimePoint now) const;
+    bool isPassedOver(const schema::ControlMember& member, TimePoint now) const;
 
     MemberPolicyOptions m_options;
     std::map<std::string, SeenTimes> m_seen;
+    /// Members whose promotion was refused, and until when they are passed over.
+    std::map<std::string, TimePoint> m_passedOverUntil;
     TimePoint m_nextChange {};
 };
 
--- a/src/include/bergamotroute/voter_balance.h
+++ b/src/include/bergamotroute/voter_balance.h
@@ -18,7 +18,7 @@
     const schema::ControlMember* member = nullptr;
     /// Empty if it is not known.
     std::string dataCentre;
-    /// It announces itself and has not been told to stop.
+    /// It announces itself, has not been told to stop, and can vote as far as the leader knows.
     bool isRunning = false;
     /// It has been known long enough to take the vote of a running host.
     bool isSettled = false;
--- a/src/libbergamot/directory/member_policy.cpp
+++ b/src/libbergamot/directory/member_policy.cpp
@@ -53,9 +53,23 @@
 void MemberPolicy::reset()
 {
     m_seen.clear();
+    m_passedOverUntil.clear();
     m_nextChange = {};
 }
 
+void MemberPolicy::handleRefusal(const schema::Change& change, TimePoint now)
+{
+    m_nextChange = now + m_options.minChangeInterval;
+    if (change.change_case() == schema::Change::kPromoteControlMember)
+        m_passedOverUntil[change.promote_control_member()] = now + m_options.refusalPause;
+}
+
+bool MemberPolicy::isPassedOver(const schema::ControlMember& member, TimePoint now) const
+{
+    const auto found = m_passedOverUntil.find(member.identity());
+    return !member.voter() && found != m_passedOverUntil.end() && now < found->second;
+}
+
 bool MemberPolicy::isAlive(const std::string& identity, TimePoint now) const
 {
     const auto found = m_seen.find(identity);
@@ -123,7 +137,8 @@
         const auto host = std::find_if(announced.begin(), announced.end(),
             [&member](const AnnouncedControlHost& item) { return item.identity == member.identity(); });
         const bool isKnown = host != announced.end();
-        const bool isRunning = isAlive(member.identity(), now) && !(isKnown && host->isStopping);
+        const bool isRunning
+            = isAlive(member.identity(), now) && !(isKnown && host->isStopping) && !isPassedOver(member, now);
         const bool isSettled = now - m_seen.at(member.identity()).first >= m_options.settleTime;
         candidates.push_back({ &member, isKnown ? host->dataCentre : std::string(), isRunning, isSettled });
     }
--- a/src/libbergamot/directory/member_policy_test.cpp
+++ b/src/libbergamot/directory/member_policy_test.cpp
@@ -254,3 +254,22 @@
     run(Duration(1500), {});
     CHECK(voterCount() == 4);
 }
+
+// Guards against a member that cannot be promoted, since its disk is full, and keeps another one from taking the place
+// of a lost voter; and against refused promotions without a pause.
+TEST_CASE_FIXTURE(Fixture, "a member whose promotion is refused is passed over for a while")
+{
+    for (const char* identity : { "d", "e" }) {
+        announced.push_back({ identity, identity, std::string(identity) + ":1", "w" });
+        members.push_back(makeMember(identity, std::string(identity) + ":1", false));
+    }
+    announced[2].age = Duration(2000);
+    const auto refused = nextChange();
+    REQUIRE(refused.has_value());
+    REQUIRE(refused->change.change_case() == schema::Change::kPromoteControlMember);
+    policy.handleRefusal(refused->change, clock.now());
+    CHECK_FALSE(nextChange().has_value());
+    run(Duration(750), { "c" });
+    CHECK_FALSE(isVoter(refused->change.promote_control_member()));
+    CHECK(hasMajorityWithout({ "b", "c" }));
+}
