Name members of the quorum after what they are in the balance of voters

VoterCandidate described every member as the leader sees it, voters included, beside findCandidate(), which returns one without a vote. It is ObservedMember now. No change of behaviour; member_policy_test passed.

--- a/src/include/bergamotroute/voter_balance.h
+++ b/src/include/bergamotroute/voter_balance.h
@@ -14,7 +14,7 @@
 namespace bergamotroute {
 
 /// A member of the quorum as its leader sees it.
-struct VoterCandidate {
+struct ObservedMember {
     const schema::ControlMember* member = nullptr;
     /// Empty if it is not known.
     std::string dataCentre;
@@ -27,7 +27,7 @@
 /// The members in the order in which they joined.
 class VoterBalance {
 public:
-    explicit VoterBalance(std::vector<VoterCandidate> members)
+    explicit VoterBalance(std::vector<ObservedMember> members)
         : m_members(std::move(members))
     {
     }
@@ -38,24 +38,24 @@
     std::size_t candidateCount() const;
 
     /// @return a voter that does not run, or null.
-    const VoterCandidate* findSilentVoter() const;
+    const ObservedMember* findSilentVoter() const;
 
     /// @return the running member without a vote whose data centre has the fewest running voters, of these the one that
     /// joined last, or null.
-    const VoterCandidate* findCandidate() const;
+    const ObservedMember* findCandidate() const;
 
     /// @return the voter that joined first in the data centre with the most voters, of these the data centre that a
     /// host joined last; null unless the data centres of all voters are known.
-    const VoterCandidate* findSurplusVoter() const;
+    const ObservedMember* findSurplusVoter() const;
 
     /// @return whether the settled member joined after all voters of its data centre, of which there is at least one:
     /// it may be there to replace that one.
-    bool isReplacement(const VoterCandidate& candidate) const;
+    bool isReplacement(const ObservedMember& candidate) const;
 
 private:
     std::size_t countVoters(const std::string& dataCentre, bool onlyRunning) const;
 
-    std::vector<VoterCandidate> m_members;
+    std::vector<ObservedMember> m_members;
 };
 
 }
--- a/src/libbergamot/directory/member_policy.cpp
+++ b/src/libbergamot/directory/member_policy.cpp
@@ -132,7 +132,7 @@
 VoterBalance MemberPolicy::makeBalance(std::span<const schema::ControlMember> members,
     std::span<const AnnouncedControlHost> announced, TimePoint now) const
 {
-    std::vector<VoterCandidate> candidates;
+    std::vector<ObservedMember> observed;
     for (const schema::ControlMember& member : members) {
         const auto host = std::find_if(announced.begin(), announced.end(),
             [&member](const AnnouncedControlHost& item) { return item.identity == member.identity(); });
@@ -140,22 +140,22 @@
         const bool isRunning
             = isAlive(member.identity(), now) && !(isKnown && host->isStopping) && !isPassedOver(member, now);
         const bool isSettled = now - m_seen.at(member.identity()).first >= m_options.settleTime;
-        candidates.push_back({ &member, isKnown ? host->dataCentre : std::string(), isRunning, isSettled });
+        observed.push_back({ &member, isKnown ? host->dataCentre : std::string(), isRunning, isSettled });
     }
-    return VoterBalance(std::move(candidates));
+    return VoterBalance(std::move(observed));
 }
 
 std::optional<MembershipChange> MemberPolicy::balanceVoters(const VoterBalance& balance)
 {
-    const VoterCandidate* silent = balance.findSilentVoter();
-    const VoterCandidate* candidate = balance.findCandidate();
+    const ObservedMember* silent = balance.findSilentVoter();
+    const ObservedMember* candidate = balance.findCandidate();
     if (balance.voterCount() % 2 == 0) {
         const bool hasSpareVoter = balance.voterCount() > 2;
         if (silent && hasSpareVoter)
             return makeDemotion(*silent->member, "the voter is silent, and the others tolerate more losses without it");
         if (candidate)
             return makePromotion(*candidate->member, "the number of voters is even");
-        const VoterCandidate* surplus = balance.findSurplusVoter();
+        const ObservedMember* surplus = balance.findSurplusVoter();
         if (surplus && hasSpareVoter)
             return makeDemotion(*surplus->member, "an even number of voters tolerates no more losses than one less");
         return std::nullopt;
--- a/src/libbergamot/directory/voter_balance.cpp
+++ b/src/libbergamot/directory/voter_balance.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-    bool isVoter(const VoterCandidate& candidate) { return candidate.member->voter(); }
+    bool isVoter(const ObservedMember& observed) { return observed.member->voter(); }
 
-    bool canBePromoted(const VoterCandidate& candidate) { return !isVoter(candidate) && candidate.isRunning; }
+    bool canBePromoted(const ObservedMember& observed) { return !isVoter(observed) && observed.isRunning; }
 
 }
 
@@ -25,23 +25,23 @@
 std::size_t VoterBalance::countVoters(const std::string& dataCentre, bool onlyRunning) const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_members.begin(), m_members.end(), [&dataCentre, onlyRunning](const VoterCandidate& candidate) {
-            return isVoter(candidate) && candidate.dataCentre == dataCentre && (candidate.isRunning || !onlyRunning);
+        std::count_if(m_members.begin(), m_members.end(), [&dataCentre, onlyRunning](const ObservedMember& member) {
+            return isVoter(member) && member.dataCentre == dataCentre && (member.isRunning || !onlyRunning);
         }));
 }
 
-const VoterCandidate* VoterBalance::findSilentVoter() const
+const ObservedMember* VoterBalance::findSilentVoter() const
 {
     const auto found = std::find_if(m_members.begin(), m_members.end(),
-        [](const VoterCandidate& candidate) { return isVoter(candidate) && !candidate.isRunning; });
+        [](const ObservedMember& member) { return isVoter(member) && !member.isRunning; });
     return found == m_members.end() ? nullptr : &*found;
 }
 
-const VoterCandidate* VoterBalance::findCandidate() const
+const ObservedMember* VoterBalance::findCandidate() const
 {
-    const VoterCandidate* best = nullptr;
+    const ObservedMember* best = nullptr;
     std::size_t fewest = 0;
-    for (const VoterCandidate& candidate : m_members) {
+    for (const ObservedMember& candidate : m_members) {
         if (!canBePromoted(candidate))
             continue;
         const std::size_t voters = countVoters(candidate.dataCentre, true);
@@ -53,36 +53,35 @@
     return best;
 }
 
-const VoterCandidate* VoterBalance::findSurplusVoter() const
+const ObservedMember* VoterBalance::findSurplusVoter() const
 {
-    const VoterCandidate* latest = nullptr;
+    const ObservedMember* latest = nullptr;
     std::size_t most = 0;
-    for (const VoterCandidate& candidate : m_members) {
-        if (!isVoter(candidate))
+    for (const ObservedMember& member : m_members) {
+        if (!isVoter(member))
             continue;
-        if (candidate.dataCentre.empty())
+        if (member.dataCentre.empty())
             return nullptr;
-        const std::size_t voters = countVoters(candidate.dataCentre, false);
+        const std::size_t voters = countVoters(member.dataCentre, false);
         if (voters < most)
             continue;
-        latest = &candidate;
+        latest = &member;
         most = voters;
     }
     if (!latest)
         return nullptr;
-    const auto first = std::find_if(m_members.begin(), m_members.end(), [latest](const VoterCandidate& candidate) {
-        return isVoter(candidate) && candidate.dataCentre == latest->dataCentre;
-    });
+    const auto first = std::find_if(m_members.begin(), m_members.end(),
+        [latest](const ObservedMember& member) { return isVoter(member) && member.dataCentre == latest->dataCentre; });
     return &*first;
 }
 
-bool VoterBalance::isReplacement(const VoterCandidate& candidate) const
+bool VoterBalance::isReplacement(const ObservedMember& candidate) const
 {
     if (!candidate.isSettled || candidate.dataCentre.empty())
         return false;
     bool hasVoter = false;
     bool hasCandidateJoined = false;
-    for (const VoterCandidate& other : m_members) {
+    for (const ObservedMember& other : m_members) {
         hasCandidateJoined = hasCandidateJoined || other.member == candidate.member;
         if (!isVoter(other) || other.dataCentre != candidate.dataCentre)
             continue;
