--- a/src/libbergamotio/log_storage.cpp
+++ b/src/libbergamotio/log_storage.cpp
@@ -214,6 +214,11 @@
     if (const std::error_code error
         = replaceFile(m_folder, snapshotName, makeFrame(request.snapshot->SerializeAsString())))
         return error;
+    return writeBase(request);
+}
+
+std::error_code LogStorage::writeBase(const PersistRequest& request)
+{
     schema::StoredRecord base;
     base.set_is_base(true);
     base.set_base_index(request.baseIndex);
@@ -222,11 +227,6 @@
         *base.mutable_hard_state() = *request.hardState;
     for (const schema::LogEntry& entry : request.entries)
         *base.add_entries() = entry;
-    return writeBase(base);
-}
-
-std::error_code LogStorage::writeBase(const schema::StoredRecord& base)
-{
     if (const std::error_code error = replaceFile(m_folder, logName, makeFrame(base.SerializeAsString())))
         return error;
     return openLogForAppend();
@@ -234,14 +234,12 @@
 
 std::error_code LogStorage::rewriteLog(const StoredLog& stored)
 {
-    schema::StoredRecord base;
-    base.set_is_base(true);
-    base.set_base_index(stored.baseIndex);
-    base.set_base_term(stored.baseTerm);
-    *base.mutable_hard_state() = stored.hardState;
-    for (const schema::LogEntry& entry : stored.entries)
-        *base.add_entries() = entry;
-    return writeBase(base);
+    PersistRequest request;
+    request.hardState = stored.hardState;
+    request.entries = stored.entries;
+    request.baseIndex = stored.baseIndex;
+    request.baseTerm = stored.baseTerm;
+    return writeBase(request);
 }
 
 std::error_code LogStorage::writePending()
--- a/src/libbergamotio/log_storage.h
+++ b/src/libbergamotio/log_storage.h
@@ -60,7 +60,8 @@
     std::error_code openLogForAppend();
     /// Replaces the log file by one with the same content.
     std::error_code rewriteLog(const StoredLog& stored);
-    std::error_code writeBase(const schema::StoredRecord& base);
+    /// Replaces the log file by one that holds the hard state and the entries of the request.
+    std::error_code writeBase(const PersistRequest& request);
     std::error_code writeSnapshot(const PersistRequest& request);
     std::error_code writePending();
 
