Keep the supervisor of the review's stand-ins from starting a host twice

Cause: a machine counted as wanted before its new process was known, so the supervisor could take the former one for ended and start another; some trials left a control host running that way.

--- a/review/small_site_2.py
+++ b/review/small_site_2.py
@@ -46,12 +46,13 @@
 
     def start(self):
         self.write_settings()
-        self.wanted = True
         log = open(self.site.folder / f"{self.name}.log", "ab")
         self.process = subprocess.Popen([str(REPOSITORY / "target/bin" / self.program), "--settings", str(self.path)],
                                         cwd=REPOSITORY, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
                                         env={k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ})
         log.close()
+        # Not earlier, or the supervisor would see the former process as one that has ended by itself.
+        self.wanted = True
         self.site.record.write(f"start {self.name} at {self.ip}")
 
     def signal(self, number):
@@ -70,7 +71,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bergamot-review-"))
         pid = os.getpid()
         self.net = f"127.{64 + (pid // 250) % 128}.{1 + pid % 250}"
-        self.controls, self.entries, self.stopping = [], [], False
+        self.controls, self.entries, self.stopping, self.supervisor = [], [], False, None
         control_ips = [f"{self.net}.{20 + i}" for i in range(controls)]
         self.seeds = [f"{ip}:{CONTROL_PORT}" for ip in control_ips[:3]]
         common = {"internal_port": INTERNAL_PORT, "seeds": self.seeds, "target_heartbeat_ms": beat_ms,
@@ -98,24 +99,26 @@
         for machine in self.controls:
             # Bootstrap is true only when the whole system starts for the first time.
             machine.settings["bootstrap"] = False
-        threading.Thread(target=self._supervise, daemon=True).start()
+        self.supervisor = threading.Thread(target=self._supervise, daemon=True)
+        self.supervisor.start()
 
     def _supervise(self):
         while not self.stopping:
             for machine in self.machines():
                 if not machine.wanted or machine.process.poll() is None:
                     continue
-                status = machine.process.returncode
+                ended, status = machine.process, machine.process.returncode
                 machine.exits.append((time.monotonic(), status))
                 self.record.write(f"ENDED BY ITSELF {machine.name} status {status}")
                 time.sleep(RESTART_DELAY_S)
-                if not self.stopping:
+                if not self.stopping and machine.wanted and machine.process is ended:
                     machine.start()
             time.sleep(0.02)
 
     def stop(self):
         self.stopping = True
-        time.sleep(0.1)
+        if self.supervisor:
+            self.supervisor.join()
         for machine in self.machines():
             machine.wanted = False
             if machine.process and machine.process.poll() is None:
