Keep the quorum when a host is replaced and another one loses its disk

Every read and change is answered with 503 "no known leader" from then on.

Cause: three of the four hosts voted. MemberPolicy guessed which one the successor was there to replace, from its data centre, and took that one's vote. Two of the three voters went at once. No choice of three helps, since for each of them two losses take two votes.

All running hosts vote now. A host at the address of a former identity answers messages for that one with its own, which proves to the sender that the former log is gone. With an even number of voters, one of them proven lost, half are enough for an election and for what its leader commits.

Why it works: half of an even number meets every majority, and two halves cannot both win a term, because each candidate knew of a lost voter in the other half before its election began.

--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -290,6 +290,22 @@
         { { "leader", m_quorum.log().leader() }, { "term", std::to_string(m_quorum.log().term()) } });
 }
 
+std::vector<AnnouncedControlHost> DirectoryDaemon::announcedControlHosts(TimePoint now) const
+{
+    std::vector<AnnouncedControlHost> announced;
+    for (const schema::ControlHostRecord& record : m_replicator.controlHosts(maxMemberAge)) {
+        if (record.identity().empty())
+            continue;
+        // Members answer the heartbeats of the quorum more often than they announce themselves.
+        const Duration announcedAge(record.age_ms());
+        const Duration age
+            = std::min(announcedAge, m_quorum.log().timeSinceAnswer(record.identity(), now).value_or(announcedAge));
+        announced.push_back(
+            { record.identity(), record.host(), record.rpc_endpoint(), record.data_centre(), age, record.stopping() });
+    }
+    return announced;
+}
+
 void DirectoryDaemon::changeMembers()
 {
     const TimePoint now = m_loop.now();
@@ -299,13 +315,8 @@
     }
     if (m_memberChangePending)
         return;
-    std::vector<AnnouncedControlHost> announced;
-    for (const schema::ControlHostRecord& record : m_replicator.controlHosts(maxMemberAge)) {
-        if (!record.identity().empty())
-            announced.push_back({ record.identity(), record.host(), record.rpc_endpoint(), record.data_centre(),
-                Duration(record.age_ms()), record.stopping() });
-    }
-    const auto step = m_memberPolicy.advance(m_quorum.log().members(), announced, m_quorum.identity(), now);
+    const auto step = m_memberPolicy.advance(
+        m_quorum.log().members(), announcedControlHosts(now), m_quorum.identity(), now, m_quorum.log().lostVoters());
     if (!step)
         return;
     static std::mt19937_64 random { std::random_device()() };
@@ -349,7 +360,7 @@
     const auto voters = std::count_if(
         members.begin(), members.end(), [](const schema::ControlMember& member) { return member.voter(); });
     const bool hasOtherMember = static_cast<std::size_t>(voters) < members.size();
-    return m_quorum.isVoter() && (hasOtherMember || (voters > 2 && voters % 2 == 0));
+    return m_quorum.isVoter() && (hasOtherMember || static_cast<std::size_t>(voters) > fewestVoters);
 }
 
 void DirectoryDaemon::finishStop()
--- a/src/bergamot-directory/directory_daemon.h
+++ b/src/bergamot-directory/directory_daemon.h
@@ -69,6 +69,7 @@
     /// Saves the registry soon, together with further changes.
     void scheduleSave();
     void runChecks();
+    std::vector<AnnouncedControlHost> announcedControlHosts(TimePoint now) const;
     void changeMembers();
     /// @return whether this host votes and another member can get its vote.
     bool canPassVote() const;
--- a/src/bergamot-directory/operator_routes.cpp
+++ b/src/bergamot-directory/operator_routes.cpp
@@ -223,6 +223,10 @@
     add("leads", "1 if this host is the leader.", m_quorum.log().role() == QuorumRole::Leader ? 1 : 0);
     add("members", "Members of the quorum.", static_cast<double>(m_quorum.log().members().size()));
     add("votes", "1 if this host is a member of the quorum that votes.", m_quorum.isVoter() ? 1 : 0);
+    add("lost_voters", "Voters whose address answers under another identity; they do not count.",
+        static_cast<double>(m_quorum.log().lostVoters().size()));
+    add("elections_by_half_total", "Elections won with half of the voters, because another voter's log is gone.",
+        static_cast<double>(m_quorum.log().electionsByHalf()));
     add("targets", "Targets in the registry.", static_cast<double>(m_registry.targets().size()));
     add("waiting_entry_calls", "Pending long polls of entry hosts.",
         static_cast<double>(m_entrySync.pendingCallCount()));
--- a/src/include/bergamotroute/quorum_log.h
+++ b/src/include/bergamotroute/quorum_log.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -105,6 +106,10 @@
     /// Handles a message from another control host. Messages that are addressed to another identity are ignored.
     void handleMessage(const schema::ControlMessage& message, TimePoint now);
 
+    /// Handles proof that the log of a member is gone for good: its address has answered a message of this host under
+    /// another identity. An identity never returns, so that the member can neither vote nor hold entries any more.
+    void handleLostVoter(const std::string& identity, TimePoint now);
+
     /// Handles an operator command. The result is passed to QuorumSink::answer(), possibly before this call returns.
     /// The outcome "unknown" with the code NotLeader, NoQuorum or StorageFailed means that this attempt was not
     /// appended to the log.
@@ -145,6 +150,9 @@
     /// or is the leader and a majority has answered a message that it sent within that period.
     bool hasQuorumContact(Duration within, TimePoint now) const;
 
+    /// @return time since this host, as leader, last received an answer from a member; nothing if it has none.
+    std::optional<Duration> timeSinceAnswer(const std::string& identity, TimePoint now) const;
+
     QuorumRole role() const;
     std::uint64_t term() const;
     const schema::Configuration& configuration() const;
@@ -157,6 +165,12 @@
     /// committed yet.
     const std::vector<schema::ControlMember>& members() const;
 
+    /// @return the voters whose log is proven to be gone, see handleLostVoter().
+    const std::set<std::string>& lostVoters() const;
+
+    /// @return number of elections that this host has won with half of an even number of voters.
+    std::uint64_t electionsByHalf() const;
+
     /// @return identity of the current leader; empty if it is unknown.
     const std::string& leader() const;
 
--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -91,6 +91,7 @@
     ControlHostFound = 511,
     ControlHostIsolated = 512,
     ControlHostCurrent = 513,
+    MemberReplaced = 514,
 
     // 6xx: entry hosts
     HostDead = 600,
--- a/src/libbergamot/base/result_code.cpp
+++ b/src/libbergamot/base/result_code.cpp
@@ -130,6 +130,8 @@
             "This control host receives no messages from a majority; it answers no reads of the configuration." },
         { ResultCode::ControlHostCurrent, "ControlHostCurrent",
             "This control host receives messages from a majority again." },
+        { ResultCode::MemberReplaced, "MemberReplaced",
+            "Another identity answers at the address of a voter: the voter's log is gone, and it counts no more." },
         { ResultCode::HostDead, "HostDead", "A majority of entry hosts has received no heartbeat from this host." },
         { ResultCode::HostJoined, "HostJoined", "An entry host joined the steering group." },
         { ResultCode::HostLeft, "HostLeft", "An entry host left the steering group after completing its handover." },
--- a/src/libbergamot/directory/member_policy.cpp
+++ b/src/libbergamot/directory/member_policy.cpp
@@ -52,7 +52,7 @@
 
 void MemberPolicy::reset()
 {
-    m_seen.clear();
+    m_lastSeen.clear();
     m_passedOverUntil.clear();
     m_nextChange = {};
 }
@@ -72,20 +72,30 @@
 
 bool MemberPolicy::isAlive(const std::string& identity, TimePoint now) const
 {
-    const auto found = m_seen.find(identity);
-    return found != m_seen.end() && now - found->second.last < m_options.announcementTimeout;
+    const auto found = m_lastSeen.find(identity);
+    return found != m_lastSeen.end() && now - found->second < m_options.silenceTimeout;
 }
 
 void MemberPolicy::updateSeenTimes(
     std::span<const schema::ControlMember> members, std::span<const AnnouncedControlHost> announced, TimePoint now)
 {
     for (const AnnouncedControlHost& host : announced) {
-        const auto [seen, isNew] = m_seen.try_emplace(host.identity, SeenTimes { now, now - host.age });
-        seen->second.last = std::max(seen->second.last, now - host.age);
+        TimePoint& lastSeen = m_lastSeen.try_emplace(host.identity, now - host.age).first->second;
+        lastSeen = std::max(lastSeen, now - host.age);
     }
-    // A new leader may have no announcement of these members; their silence is counted from now.
+    // A new leader may not have heard of these members yet, and knows nothing of how long they are silent.
     for (const schema::ControlMember& member : members)
-        m_seen.try_emplace(member.identity(), SeenTimes { now, now });
+        m_lastSeen.try_emplace(member.identity(), now + m_options.firstContactAllowance);
+}
+
+std::optional<MembershipChange> MemberPolicy::removeLost(
+    std::span<const schema::ControlMember> members, const std::set<std::string>& lostVoters)
+{
+    const auto lost = std::find_if(members.begin(), members.end(),
+        [&lostVoters](const schema::ControlMember& member) { return lostVoters.contains(member.identity()); });
+    if (lost == members.end())
+        return std::nullopt;
+    return makeRemoval(*lost, "another identity answers at its address; the member's disk was lost");
 }
 
 std::optional<MembershipChange> MemberPolicy::removeReplaced(std::span<const schema::ControlMember> members,
@@ -109,7 +119,7 @@
     std::span<const schema::ControlMember> members, TimePoint now) const
 {
     for (const schema::ControlMember& member : members) {
-        if (!member.voter() && now - m_seen.at(member.identity()).last >= m_options.removeAfter)
+        if (!member.voter() && now - m_lastSeen.at(member.identity()) >= m_options.removeAfter)
             return makeRemoval(member, "the member has no vote and is silent");
     }
     return std::nullopt;
@@ -139,8 +149,7 @@
         const bool isKnown = host != announced.end();
         const bool isRunning
             = isAlive(member.identity(), now) && !(isKnown && host->isStopping) && !isPassedOver(member, now);
-        const bool isSettled = now - m_seen.at(member.identity()).first >= m_options.settleTime;
-        observed.push_back({ &member, isKnown ? host->dataCentre : std::string(), isRunning, isSettled });
+        observed.push_back({ &member, isKnown ? host->dataCentre : std::string(), isRunning });
     }
     return VoterBalance(std::move(observed));
 }
@@ -148,32 +157,19 @@
 std::optional<MembershipChange> MemberPolicy::balanceVoters(const VoterBalance& balance)
 {
     const ObservedMember* silent = balance.findSilentVoter();
-    const ObservedMember* candidate = balance.findCandidate();
-    if (balance.voterCount() % 2 == 0) {
-        const bool hasSpareVoter = balance.voterCount() > 2;
-        if (silent && hasSpareVoter)
-            return makeDemotion(*silent->member, "the voter is silent, and the others tolerate more losses without it");
-        if (candidate)
-            return makePromotion(*candidate->member, "the number of voters is even");
-        const ObservedMember* surplus = balance.findSurplusVoter();
-        if (surplus && hasSpareVoter)
-            return makeDemotion(*surplus->member, "an even number of voters tolerates no more losses than one less");
-        return std::nullopt;
-    }
-    if (!candidate)
-        return std::nullopt;
-    if (silent)
-        return makePromotion(*candidate->member, "a running member takes the place of a silent voter");
-    if (balance.candidateCount() > 1)
-        return makePromotion(*candidate->member, "two more members can vote");
-    if (balance.isReplacement(*candidate))
-        return makePromotion(*candidate->member, "the member joined after all voters of its data centre");
+    if (silent && balance.voterCount() > fewestVoters)
+        return makeDemotion(*silent->member, "the voter is silent, and the others tolerate more losses without it");
+    if (const ObservedMember* candidate = balance.findCandidate())
+        return makePromotion(*candidate->member, "a running member has no vote");
     return std::nullopt;
 }
 
 std::optional<MembershipChange> MemberPolicy::findChange(std::span<const schema::ControlMember> members,
-    std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now) const
+    std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now,
+    const std::set<std::string>& lostVoters) const
 {
+    if (auto removal = removeLost(members, lostVoters))
+        return removal;
     if (auto removal = removeReplaced(members, announced, self, now))
         return removal;
     if (auto addition = add(members, announced, now))
@@ -184,13 +180,14 @@
 }
 
 std::optional<MembershipChange> MemberPolicy::advance(std::span<const schema::ControlMember> members,
-    std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now)
+    std::span<const AnnouncedControlHost> announced, const std::string& self, TimePoint now,
+    const std::set<std::string>& lostVoters)
 {
     updateSeenTimes(members, announced, now);
     if (now < m_nextChange)
         return std::nullopt;
-    std::optional<MembershipChange> change = findChange(members, announced, self, now);
-    // A promotion makes the number of voters even, which the next change mends, so that one follows without a pause.
+    std::optional<MembershipChange> change = findChange(members, announced, self, now, lostVoters);
+    // A promotion may make room for the demotion of a silent voter, so that the next change follows without a pause.
     const bool isPromotion = change && change->change.change_case() == schema::Change::kPromoteControlMember;
     m_nextChange = isPromotion ? now : now + m_options.minChangeInterval;
     return change;
--- a/src/libbergamot/directory/voter_balance.cpp
+++ b/src/libbergamot/directory/voter_balance.cpp
@@ -17,16 +17,11 @@
     return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), isVoter));
 }
 
-std::size_t VoterBalance::candidateCount() const
-{
-    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), canBePromoted));
-}
-
-std::size_t VoterBalance::countVoters(const std::string& dataCentre, bool onlyRunning) const
+std::size_t VoterBalance::countRunningVoters(const std::string& dataCentre) const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_members.begin(), m_members.end(), [&dataCentre, onlyRunning](const ObservedMember& member) {
-            return isVoter(member) && member.dataCentre == dataCentre && (member.isRunning || !onlyRunning);
+        std::count_if(m_members.begin(), m_members.end(), [&dataCentre](const ObservedMember& member) {
+            return isVoter(member) && member.isRunning && member.dataCentre == dataCentre;
         }));
 }
 
@@ -44,7 +39,7 @@
     for (const ObservedMember& candidate : m_members) {
         if (!canBePromoted(candidate))
             continue;
-        const std::size_t voters = countVoters(candidate.dataCentre, true);
+        const std::size_t voters = countRunningVoters(candidate.dataCentre);
         if (best && voters > fewest)
             continue;
         best = &candidate;
@@ -53,43 +48,4 @@
     return best;
 }
 
-const ObservedMember* VoterBalance::findSurplusVoter() const
-{
-    const ObservedMember* latest = nullptr;
-    std::size_t most = 0;
-    for (const ObservedMember& member : m_members) {
-        if (!isVoter(member))
-            continue;
-        if (member.dataCentre.empty())
-            return nullptr;
-        const std::size_t voters = countVoters(member.dataCentre, false);
-        if (voters < most)
-            continue;
-        latest = &member;
-        most = voters;
-    }
-    if (!latest)
-        return nullptr;
-    const auto first = std::find_if(m_members.begin(), m_members.end(),
-        [latest](const ObservedMember& member) { return isVoter(member) && member.dataCentre == latest->dataCentre; });
-    return &*first;
-}
-
-bool VoterBalance::isReplacement(const ObservedMember& candidate) const
-{
-    if (!candidate.isSettled || candidate.dataCentre.empty())
-        return false;
-    bool hasVoter = false;
-    bool hasCandidateJoined = false;
-    for (const ObservedMember& other : m_members) {
-        hasCandidateJoined = hasCandidateJoined || other.member == candidate.member;
-        if (!isVoter(other) || other.dataCentre != candidate.dataCentre)
-            continue;
-        if (hasCandidateJoined)
-            return false;
-        hasVoter = true;
-    }
-    return hasVoter;
-}
-
 }
--- a/src/libbergamot/quorum/commands.cpp
+++ b/src/libbergamot/quorum/commands.cpp
@@ -278,8 +278,9 @@
             shown.set_match_index(window.lastIndex());
         }
     }
-    const std::pair<const char*, std::uint64_t> counters[] = { { "elections", elections },
-        { "snapshots_installed", snapshotsInstalled }, { "snapshots_taken", snapshotsTaken } };
+    const std::pair<const char*, std::uint64_t> counters[]
+        = { { "elections", elections }, { "elections_by_half", electionsByHalf },
+              { "snapshots_installed", snapshotsInstalled }, { "snapshots_taken", snapshotsTaken } };
     for (const auto& [name, value] : counters) {
         schema::CounterState& counter = *state.add_counters();
         counter.set_name(name);
--- a/src/libbergamot/quorum/election.cpp
+++ b/src/libbergamot/quorum/election.cpp
@@ -33,8 +33,9 @@
 
 void QuorumLog::Implementation::requestVotes(bool preVote, std::uint64_t term)
 {
-    for (const schema::ControlMember& member : members) {
-        if (!member.voter() || member.identity() == options.identity)
+    const VoterSets voters = voterSets(lostVoters);
+    for (const schema::ControlMember& member : reachableMembers()) {
+        if (!voters.contains(member.identity()) || member.identity() == options.identity)
             continue;
         schema::ControlMessage message = messageTo(member.identity());
         schema::VoteRequest& request = *message.mutable_vote_request();
@@ -65,6 +66,7 @@
     hardState.set_voted_for(options.identity);
     persistHardState();
     votePersistId = requestedPersistId;
+    lostVotersOfTerm = lostVoters;
     votes = { options.identity };
     resetElectionDeadline(now);
     requestVotes(false, hardState.term());
@@ -133,12 +135,10 @@
 
 void QuorumLog::Implementation::countVotes(TimePoint now)
 {
-    std::size_t granted = 0;
-    for (const std::string& voter : votes)
-        granted += isVoter(voter) ? 1 : 0;
-    if (granted < majority())
+    const bool isPreVote = role == QuorumRole::PreCandidate;
+    if (!voterSets(isPreVote ? lostVoters : lostVotersOfTerm).hasQuorum(votes))
         return;
-    if (role == QuorumRole::PreCandidate)
+    if (isPreVote)
         startElection(now);
     else if (role == QuorumRole::Candidate && completedPersistId >= votePersistId)
         becomeLeader(now);
@@ -149,11 +149,15 @@
     role = QuorumRole::Leader;
     leader = options.identity;
     leaderSince = now;
-    votes.clear();
     progress.clear();
     durableIndex = window.lastIndex();
     pendingWrites.clear();
-    sink.logEvent(ResultCode::Ok, "became leader in term " + std::to_string(hardState.term()));
+    const bool isByHalf = !voterSets({}).hasQuorum(votes);
+    electionsByHalf += isByHalf ? 1 : 0;
+    sink.logEvent(ResultCode::Ok,
+        "became leader in term " + std::to_string(hardState.term())
+            + (isByHalf ? " with half of the voters; another one's log is gone" : ""));
+    votes.clear();
     // A leader may commit entries of earlier terms only by committing an entry of its own term after them, so it
     // appends an empty entry.
     schema::LogEntry first;
--- a/src/libbergamot/quorum/quorum_log.cpp
+++ b/src/libbergamot/quorum/quorum_log.cpp
@@ -154,20 +154,35 @@
 }
 
 void QuorumLog::Implementation::refreshMembers()
+{
+    const std::uint64_t changeIndex = findMemberChange(window.lastIndex());
+    memberChangeIndex = changeIndex;
+    members = membersAt(changeIndex);
+    previousMembers = changeIndex > 0 ? membersAt(findMemberChange(changeIndex - 1)) : members;
+    const VoterSets voters = voterSets({});
+    std::erase_if(lostVoters, [&voters](const std::string& identity) { return !voters.contains(identity); });
+}
+
+std::uint64_t QuorumLog::Implementation::findMemberChange(std::uint64_t from) const
 {
     const std::uint64_t snapshotIndex = newestSnapshot ? newestSnapshot->last_index() : 0;
-    for (std::uint64_t index = window.lastIndex(); index > window.baseIndex() && index > snapshotIndex; --index) {
-        const auto& changed = window.at(index).members();
-        if (changed.empty())
-            continue;
-        members.assign(changed.begin(), changed.end());
-        return;
+    for (std::uint64_t index = from; index > window.baseIndex() && index > snapshotIndex; --index) {
+        if (!window.at(index).members().empty())
+            return index;
     }
-    members.clear();
-    if (newestSnapshot) {
-        const auto& known = newestSnapshot->configuration().control_members();
-        members.assign(known.begin(), known.end());
+    return 0;
+}
+
+std::vector<schema::ControlMember> QuorumLog::Implementation::membersAt(std::uint64_t changeIndex) const
+{
+    if (changeIndex > 0) {
+        const auto& changed = window.at(changeIndex).members();
+        return { changed.begin(), changed.end() };
     }
+    if (!newestSnapshot)
+        return {};
+    const auto& known = newestSnapshot->configuration().control_members();
+    return { known.begin(), known.end() };
 }
 
 bool QuorumLog::Implementation::isVoter(const std::string& identity) const
@@ -176,10 +191,38 @@
         [&identity](const schema::ControlMember& member) { return member.voter() && member.identity() == identity; });
 }
 
-std::size_t QuorumLog::Implementation::voterCount() const
+VoterSets QuorumLog::Implementation::voterSets(const std::set<std::string>& lost) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        members.begin(), members.end(), [](const schema::ControlMember& member) { return member.voter(); }));
+    VoterSets sets(lost);
+    sets.add(members);
+    if (isMemberChangePending())
+        sets.add(previousMembers);
+    return sets;
+}
+
+std::vector<schema::ControlMember> QuorumLog::Implementation::reachableMembers() const
+{
+    std::vector<schema::ControlMember> result = members;
+    if (!isMemberChangePending())
+        return result;
+    for (const schema::ControlMember& previous : previousMembers) {
+        const auto found = std::find_if(result.begin(), result.end(),
+            [&previous](const schema::ControlMember& member) { return member.identity() == previous.identity(); });
+        if (found == result.end())
+            result.push_back(previous);
+    }
+    return result;
+}
+
+void QuorumLog::Implementation::handleLostVoter(const std::string& identity, TimePoint now)
+{
+    if (isStopped() || identity == options.identity || !voterSets({}).contains(identity))
+        return;
+    if (!lostVoters.insert(identity).second)
+        return;
+    sink.logEvent(ResultCode::MemberReplaced, "another identity answers at the address of voter " + identity);
+    if (role == QuorumRole::PreCandidate)
+        countVotes(now);
 }
 
 void QuorumLog::Implementation::advance(TimePoint now)
@@ -196,7 +239,7 @@
     }
     if (now < electionDeadline)
         return;
-    if (isVoter(options.identity))
+    if (voterSets(lostVoters).contains(options.identity))
         startPreVote(now);
     else
         resetElectionDeadline(now);
@@ -247,6 +290,11 @@
     }
 }
 
+void QuorumLog::handleLostVoter(const std::string& identity, TimePoint now)
+{
+    m_implementation->handleLostVoter(identity, now);
+}
+
 void QuorumLog::handleCommand(std::uint64_t token, const schema::Command& command, TimePoint now, std::uint64_t wallMs)
 {
     m_implementation->handleCommand(token, command, now, wallMs);
@@ -292,6 +340,14 @@
     return self.role == QuorumRole::Follower && !self.leader.empty() && now - self.lastLeaderContact < within;
 }
 
+std::optional<Duration> QuorumLog::timeSinceAnswer(const std::string& identity, TimePoint now) const
+{
+    const auto found = m_implementation->progress.find(identity);
+    if (found == m_implementation->progress.end() || !found->second.hasAnswered)
+        return std::nullopt;
+    return now - found->second.lastContact;
+}
+
 std::uint64_t QuorumLog::term() const { return m_implementation->hardState.term(); }
 
 QuorumRole QuorumLog::role() const { return m_implementation->role; }
@@ -312,6 +368,10 @@
 
 const std::vector<schema::ControlMember>& QuorumLog::members() const { return m_implementation->members; }
 
+const std::set<std::string>& QuorumLog::lostVoters() const { return m_implementation->lostVoters; }
+
+std::uint64_t QuorumLog::electionsByHalf() const { return m_implementation->electionsByHalf; }
+
 const std::string& QuorumLog::leader() const { return m_implementation->leader; }
 
 const schema::RememberedResult* QuorumLog::findResult(std::string_view requestId) const
--- a/src/libbergamot/quorum/quorum_state.h
+++ b/src/libbergamot/quorum/quorum_state.h
@@ -6,6 +6,7 @@
 
 #include "bergamotroute/quorum_log.h"
 #include "quorum/log_window.h"
+#include "quorum/voter_sets.h"
 
 #include <deque>
 #include <map>
@@ -69,9 +70,18 @@
 
     // Members.
     void refreshMembers();
+    /// @return index of the last entry up to an index that changes the members; zero if only the snapshot has them.
+    std::uint64_t findMemberChange(std::uint64_t from) const;
+    /// @param changeIndex result of findMemberChange().
+    std::vector<schema::ControlMember> membersAt(std::uint64_t changeIndex) const;
     bool isVoter(const std::string& identity) const;
-    std::size_t voterCount() const;
-    std::size_t majority() const { return voterCount() / 2 + 1; }
+    /// @return true while another leader may still replace the last change of members.
+    bool isMemberChangePending() const { return memberChangeIndex > commitIndex; }
+    /// @param lost voters that do not count.
+    VoterSets voterSets(const std::set<std::string>& lost) const;
+    /// @return the members and, while a change is pending, those that it takes away.
+    std::vector<schema::ControlMember> reachableMembers() const;
+    void handleLostVoter(const std::string& identity, TimePoint now);
 
     // Elections.
     void resetElectionDeadline(TimePoint now);
@@ -143,6 +153,14 @@
     /// Latest snapshot; sent to members that need entries older than the window.
     std::optional<schema::Snapshot> newestSnapshot;
     std::vector<schema::ControlMember> members;
+    /// Members before the entry that changed them last, and its index.
+    std::vector<schema::ControlMember> previousMembers;
+    std::uint64_t memberChangeIndex = 0;
+    /// Voters whose log is proven to be gone: another identity has answered at their address.
+    std::set<std::string> lostVoters;
+    /// The lost voters that were known when the election of the current term began. Votes and answers of this term come
+    /// later than each of these losses, which is what makes a smaller quorum safe.
+    std::set<std::string> lostVotersOfTerm;
 
     QuorumRole role = QuorumRole::Follower;
     bool storageFailed = false;
@@ -174,6 +192,8 @@
     /// Entry times never decrease, so that stored results expire in log order.
     std::uint64_t lastEntryTimeMs = 0;
     std::uint64_t elections = 0;
+    /// Elections won with half of an even number of voters.
+    std::uint64_t electionsByHalf = 0;
     std::uint64_t snapshotsTaken = 0;
     std::uint64_t snapshotsInstalled = 0;
 };
--- a/src/libbergamot/quorum/quorum_test_support.h
+++ b/src/libbergamot/quorum/quorum_test_support.h
@@ -77,6 +77,15 @@
         pendingPersists.clear();
     }
 
+    /// Ends the process and empties its disk; the next start has another identity at the same address.
+    void loseDisk()
+    {
+        crash();
+        formerIdentities.insert(identity);
+        identity += '\'';
+        disk = {};
+    }
+
     /// Completes all pending persist requests.
     /// @param succeeded false reports that they failed and writes nothing.
     void sync(bool succeeded = true)
@@ -101,6 +110,8 @@
     void logEvent(ResultCode code, std::string_view) override { events.push_back(code); }
 
     std::string identity;
+    /// Identities that the host had before it lost its disk.
+    std::set<std::string> formerIdentities;
     const ManualClock& clock;
     std::uint64_t seed;
     StoredLog disk;
@@ -214,6 +225,10 @@
 
     void isolate(const std::string& identity) { m_isolated.insert(identity); }
     void heal() { m_isolated.clear(); }
+    bool areConnected(const std::string& first, const std::string& second) const
+    {
+        return m_isolated.contains(first) == m_isolated.contains(second);
+    }
 
     static constexpr Duration stepDuration { 10 };
     ManualClock clock;
@@ -255,12 +270,22 @@
                 m_network.push_back(item);
                 continue;
             }
-            const bool isPartitioned
-                = m_isolated.contains(item.message.from()) != m_isolated.contains(item.message.to());
-            for (const auto& member : members) {
-                if (!isPartitioned && member->log && member->identity == item.message.to())
-                    member->log->handleMessage(item.message, clock.now());
-            }
+            for (const auto& member : members)
+                deliver(item.message, *member);
+        }
+    }
+
+    void deliver(const schema::ControlMessage& message, TestMember& receiver)
+    {
+        if (!receiver.log || !areConnected(message.from(), receiver.identity))
+            return;
+        if (receiver.identity == message.to())
+            receiver.log->handleMessage(message, clock.now());
+        if (!receiver.formerIdentities.contains(message.to()))
+            return;
+        for (const auto& sender : members) {
+            if (sender->log && sender->identity == message.from())
+                sender->log->handleLostVoter(message.to(), clock.now());
         }
     }
 
--- a/src/libbergamot/quorum/replication.cpp
+++ b/src/libbergamot/quorum/replication.cpp
@@ -20,7 +20,7 @@
 
 void QuorumLog::Implementation::rebuildProgress(std::uint64_t next, TimePoint now)
 {
-    for (const schema::ControlMember& member : members) {
+    for (const schema::ControlMember& member : reachableMembers()) {
         if (member.identity() == options.identity || progress.contains(member.identity()))
             continue;
         Progress& added = progress[member.identity()];
@@ -129,18 +129,13 @@
 
 void QuorumLog::Implementation::advanceCommit(TimePoint now)
 {
-    std::vector<std::uint64_t> matches;
-    for (const schema::ControlMember& member : members) {
-        if (!member.voter())
-            continue;
-        const auto found = progress.find(member.identity());
-        const bool isSelf = member.identity() == options.identity;
-        matches.push_back(isSelf ? durableIndex : found == progress.end() ? 0 : found->second.match);
-    }
-    if (matches.size() < majority() || matches.empty())
-        return;
-    std::sort(matches.begin(), matches.end(), std::greater<>());
-    const std::uint64_t candidate = matches[majority() - 1];
+    const auto matchOf = [this](const std::string& identity) -> std::uint64_t {
+        if (identity == options.identity)
+            return durableIndex;
+        const auto found = progress.find(identity);
+        return found == progress.end() ? 0 : found->second.match;
+    };
+    const std::uint64_t candidate = voterSets(lostVotersOfTerm).reachedByQuorum<std::uint64_t>(matchOf, 0);
     if (candidate <= commitIndex || window.termAt(candidate) != hardState.term())
         return;
     commitUpTo(candidate, now);
@@ -150,19 +145,14 @@
 
 TimePoint QuorumLog::Implementation::leaseStart(TimePoint now) const
 {
-    std::vector<TimePoint> times;
-    for (const schema::ControlMember& member : members) {
-        if (!member.voter())
-            continue;
-        const auto found = progress.find(member.identity());
-        const bool isSelf = member.identity() == options.identity;
+    const auto answeredSendTime = [this, now](const std::string& identity) {
+        if (identity == options.identity)
+            return now;
+        const auto found = progress.find(identity);
         const bool hasAnswered = found != progress.end() && found->second.hasAnswered;
-        times.push_back(isSelf ? now : hasAnswered ? found->second.acknowledgedSendTime : TimePoint::min());
-    }
-    if (times.empty())
-        return TimePoint::min();
-    std::sort(times.begin(), times.end(), std::greater<>());
-    return times[majority() - 1];
+        return hasAnswered ? found->second.acknowledgedSendTime : TimePoint::min();
+    };
+    return voterSets(lostVotersOfTerm).reachedByQuorum<TimePoint>(answeredSendTime, TimePoint::min());
 }
 
 bool QuorumLog::Implementation::isLeaseValid(TimePoint now) const
--- a/src/libbergamotio/peer_links.cpp
+++ b/src/libbergamotio/peer_links.cpp
@@ -42,10 +42,20 @@
     ++m_sent;
     message.set_reply_endpoint(m_ownEndpoint);
     const Duration deadline = message.has_snapshot_request() ? snapshotDeadline : messageDeadline;
-    client->call(controlPath, message.SerializeAsString(), deadline, [this](const RpcResult& result) {
-        if (!result.succeeded())
-            ++m_failed;
-    });
+    client->call(controlPath, message.SerializeAsString(), deadline,
+        [this, identity = message.to()](const RpcResult& result) { handleAnswer(identity, result); });
+}
+
+void PeerLinks::handleAnswer(const std::string& identity, const RpcResult& result)
+{
+    if (!result.succeeded()) {
+        ++m_failed;
+        return;
+    }
+    schema::ControlMessage answer;
+    if (!result.body.empty() && answer.ParseFromString(result.body) && answer.has_identity_answer()
+        && answer.identity_answer().identity() != identity)
+        m_identityReplaced.emit(identity);
 }
 
 void PeerLinks::askIdentity(const std::string& endpoint, std::function<void(const schema::IdentityAnswer&)> handler)
--- a/src/libbergamotio/peer_links.h
+++ b/src/libbergamotio/peer_links.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <sigc++/signal.h>
 #include <string>
 
 namespace bergamotroute {
@@ -23,6 +24,10 @@
     /// Sends a message to the identity in its field `to`; drops it if the endpoint is not known.
     void send(schema::ControlMessage message);
 
+    /// Emitted with the identity that a message was for when another identity answers at its endpoint. The message was
+    /// sent after this host had learned of the former identity, so that the answer shows the later one of the two.
+    sigc::signal<void(const std::string&)>& identityReplaced() { return m_identityReplaced; }
+
     /// Asks the host at an endpoint for its identity.
     void askIdentity(const std::string& endpoint, std::function<void(const schema::IdentityAnswer&)> handler);
 
@@ -31,9 +36,12 @@
     std::uint64_t failedProbes() const { return m_clients.failedProbes(); }
 
 private:
+    void handleAnswer(const std::string& identity, const RpcResult& result);
+
     std::string m_ownEndpoint;
     std::map<std::string, std::string> m_endpointOf;
     RpcClientPool m_clients;
+    sigc::signal<void(const std::string&)> m_identityReplaced;
     std::uint64_t m_sent = 0;
     std::uint64_t m_failed = 0;
 };
--- a/src/libbergamotio/quorum_host.cpp
+++ b/src/libbergamotio/quorum_host.cpp
@@ -48,6 +48,7 @@
     , m_recoverTimer(loop, [this] { recover(); })
     , m_readTimer(loop, [this] { finishReads(); })
 {
+    m_links.identityReplaced().connect([this](const std::string& identity) { handleLostVoter(identity); });
 }
 
 std::error_code QuorumHost::open()
@@ -91,6 +92,7 @@
     QuorumOptions options = m_options.quorum;
     // A member whose folder cannot be opened runs without an identity that others know, and takes no part.
     m_identity = report.error ? makeIdentity() : stored.hardState.identity();
+    m_hasStoredIdentity = !report.error;
     options.identity = m_identity;
     options.seed = randomNumber();
     if (report.error)
@@ -178,6 +180,22 @@
             { { "identity", m_identity } });
 }
 
+std::string QuorumHost::makeIdentityAnswer() const
+{
+    schema::ControlMessage message;
+    schema::IdentityAnswer& identityAnswer = *message.mutable_identity_answer();
+    identityAnswer.set_identity(m_identity);
+    identityAnswer.set_host(m_options.bootstrapName);
+    identityAnswer.set_formed(m_log->isInitialized());
+    return message.SerializeAsString();
+}
+
+void QuorumHost::handleLostVoter(const std::string& identity)
+{
+    m_log->handleLostVoter(identity, m_loop.now());
+    afterEvent();
+}
+
 void QuorumHost::handleCall(const std::string& body, const RpcReply& reply)
 {
     schema::ControlMessage message;
@@ -186,16 +204,14 @@
         return;
     }
     if (message.has_identity_request()) {
-        schema::ControlMessage identityMessage;
-        identityMessage.mutable_identity_answer()->set_identity(m_identity);
-        identityMessage.mutable_identity_answer()->set_host(m_options.bootstrapName);
-        identityMessage.mutable_identity_answer()->set_formed(m_log->isInitialized());
-        reply.send(statusOk, identityMessage.SerializeAsString());
+        reply.send(statusOk, makeIdentityAnswer());
         return;
     }
     m_links.learn(message.from(), message.reply_endpoint());
     m_log->handleMessage(message, m_loop.now());
-    reply.send(statusOk, {});
+    // An identity that is not stored ends with the process, and the one in the data folder may return.
+    const bool isForFormerIdentity = m_hasStoredIdentity && message.to() != m_identity;
+    reply.send(statusOk, isForFormerIdentity ? makeIdentityAnswer() : std::string());
     afterEvent();
 }
 
--- a/src/libbergamotio/quorum_host.h
+++ b/src/libbergamotio/quorum_host.h
@@ -103,6 +103,8 @@
     void startBootstrap();
     void advanceBootstrap();
     void handleIdentity(const std::string& endpoint, const schema::IdentityAnswer& identityAnswer);
+    std::string makeIdentityAnswer() const;
+    void handleLostVoter(const std::string& identity);
     void handleCall(const std::string& body, const RpcReply& reply);
     void syncStorage();
     void advance();
@@ -114,6 +116,8 @@
     QuorumHostOptions m_options;
     std::unique_ptr<LogStorage> m_storage;
     std::string m_identity;
+    /// False while the data folder cannot be opened; the identity is not kept then.
+    bool m_hasStoredIdentity = false;
     PeerLinks m_links;
     std::unique_ptr<QuorumLog> m_log;
     std::optional<QuorumBootstrap> m_bootstrap;
