Let the voters after an acknowledged change of members decide alone

The leader told them with its next heartbeat, and was gone by then. Of the four voters before the change, the removed one and the leader were lost.

Each entry carries the commit index of the leader that appended it, and after a change of members the leader appends one more, with which the change is answered. Its holders know that the change is committed, which stays true whatever follows.

Evidence: the logs show the removal in force on both remaining hosts and "no leader" from 1 s later to the end.

--- a/src/libbergamot/quorum/commands.cpp
+++ b/src/libbergamot/quorum/commands.cpp
@@ -117,6 +117,7 @@
     for (schema::LogEntry& entry : entries) {
         entry.set_term(hardState.term());
         entry.set_index(window.lastIndex() + 1);
+        entry.set_known_commit(commitIndex);
         lastEntryTimeMs = entry.time_ms();
         membersChanged = membersChanged || !entry.members().empty();
         request.entries.push_back(entry);
@@ -149,29 +150,61 @@
 void QuorumLog::Implementation::applyEntry(const schema::LogEntry& entry, TimePoint now)
 {
     const schema::CommandResult result = machine.apply(entry);
-    const auto [first, last] = pendingCommands.equal_range(entry.index());
+    if (entry.members().empty())
+        answerPending(entry.index(), result);
+    else
+        handleMemberChange(entry, result, now);
+}
+
+void QuorumLog::Implementation::answerPending(std::uint64_t index, const schema::CommandResult& result)
+{
+    const auto [first, last] = pendingCommands.equal_range(index);
     for (auto pendingCommand = first; pendingCommand != last; ++pendingCommand)
-        sink.answer(pendingCommand->second.token, result);
+        sink.answer(pendingCommand->second.token, pendingCommand->second.result.value_or(result));
     pendingCommands.erase(first, last);
-    if (!entry.members().empty())
-        handleMemberChange(entry, now);
 }
 
-void QuorumLog::Implementation::handleMemberChange(const schema::LogEntry& entry, TimePoint now)
+void QuorumLog::Implementation::confirmMemberChange(
+    std::uint64_t index, const schema::CommandResult& result, TimePoint now)
+{
+    // Until it is known that the change is committed, the voters before it decide as well, and the leader may be lost
+    // before it has told anybody.
+    const auto [first, last] = pendingCommands.equal_range(index);
+    std::vector<PendingCommand> answers;
+    for (auto pendingCommand = first; pendingCommand != last; ++pendingCommand)
+        answers.push_back(pendingCommand->second);
+    pendingCommands.erase(first, last);
+    for (PendingCommand& answer : answers) {
+        answer.result = result;
+        pendingCommands.emplace(window.lastIndex() + 1, std::move(answer));
+    }
+    schema::LogEntry confirmation;
+    confirmation.set_time_ms(lastEntryTimeMs);
+    appendEntries({ std::move(confirmation) }, now);
+}
+
+void QuorumLog::Implementation::handleMemberChange(
+    const schema::LogEntry& entry, const schema::CommandResult& result, TimePoint now)
 {
-    if (role == QuorumRole::Leader)
-        dropRemovedMembers(now);
     const schema::Change& change = entry.command().changes(0);
     const bool demotesSelf = change.change_case() == schema::Change::kDemoteControlMember
         && change.demote_control_member() == options.identity;
-    if (demotesSelf && role == QuorumRole::Leader) {
+    const bool removesSelf = change.change_case() == schema::Change::kRemoveControlMember
+        && change.remove_control_member() == options.identity;
+    if (role == QuorumRole::Leader) {
+        dropRemovedMembers(now);
+        if (!demotesSelf && !removesSelf) {
+            confirmMemberChange(entry.index(), result, now);
+            return;
+        }
         // The followers learn that the entry is accepted, so that the next leader begins with it applied.
         sendHeartbeats(now);
+    }
+    answerPending(entry.index(), result);
+    if (demotesSelf && role == QuorumRole::Leader) {
         sink.logEvent(ResultCode::MemberChanged, "this host has lost its vote; stepping down as leader");
         becomeFollower(hardState.term(), {}, now);
     }
-    const bool removesSelf = change.change_case() == schema::Change::kRemoveControlMember
-        && change.remove_control_member() == options.identity;
     if (!removesSelf)
         return;
     hardState.set_retired(true);
--- a/src/libbergamot/quorum/election.cpp
+++ b/src/libbergamot/quorum/election.cpp
@@ -34,7 +34,7 @@
 void QuorumLog::Implementation::requestVotes(bool preVote, std::uint64_t term)
 {
     const VoterSets voters = voterSets(lostVoters);
-    for (const schema::ControlMember& member : reachableMembers()) {
+    for (const schema::ControlMember& member : replicatedMembers()) {
         if (!voters.contains(member.identity()) || member.identity() == options.identity)
             continue;
         schema::ControlMessage message = messageTo(member.identity());
--- a/src/libbergamot/quorum/following.cpp
+++ b/src/libbergamot/quorum/following.cpp
@@ -52,6 +52,7 @@
                 last = std::min(last, entry.index() - 1);
         }
         window.append(entry);
+        knownCommit = std::max(knownCommit, entry.known_commit());
         lastEntryTimeMs = std::max(lastEntryTimeMs, entry.time_ms());
         persistRequest.entries.push_back(entry);
     }
--- a/src/libbergamot/quorum/quorum_log.cpp
+++ b/src/libbergamot/quorum/quorum_log.cpp
@@ -18,8 +18,10 @@
 {
     hardState.set_identity(options.identity);
     window.reset(stored.baseIndex, stored.baseTerm);
-    for (schema::LogEntry& entry : stored.entries)
+    for (schema::LogEntry& entry : stored.entries) {
+        knownCommit = std::max(knownCommit, entry.known_commit());
         window.append(std::move(entry));
+    }
     if (stored.snapshot) {
         newestSnapshot = std::move(stored.snapshot);
         machine.restore(*newestSnapshot);
@@ -200,7 +202,7 @@
     return sets;
 }
 
-std::vector<schema::ControlMember> QuorumLog::Implementation::reachableMembers() const
+std::vector<schema::ControlMember> QuorumLog::Implementation::replicatedMembers() const
 {
     std::vector<schema::ControlMember> result = members;
     if (!isMemberChangePending())
--- a/src/libbergamot/quorum/quorum_members_test.cpp
+++ b/src/libbergamot/quorum/quorum_members_test.cpp
@@ -124,6 +124,29 @@
     CHECK(quorum.submitToLeader(makeCommand("b", "10.0.0.2")).outcome() == schema::OUTCOME_ACCEPTED);
 }
 
+// Guards against voters that do not know that an acknowledged change of members is committed: they ask for a majority
+// of the voters before it as well, of which the removed one and the lost leader are two.
+TEST_CASE("right after an acknowledged removal the leader may be lost")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        TestQuorum quorum(4, seed);
+        quorum.run(Duration(2000));
+        TestMember* leader = quorum.leader();
+        REQUIRE(leader != nullptr);
+        TestMember& removed = *quorum.members[leader == quorum.members[0].get() ? 1 : 0];
+        removed.crash();
+        quorum.run(Duration(500));
+        const std::uint64_t token = quorum.submit(*leader, removeMember("remove", removed.identity));
+        for (int step = 0; step < 200 && !leader->answers.contains(token); ++step)
+            quorum.step();
+        REQUIRE(leader->answers[token].outcome() == schema::OUTCOME_ACCEPTED);
+        leader->crash();
+        quorum.run(Duration(4000));
+        CHECK(quorum.leader() != nullptr);
+    }
+}
+
 // Guards against a leader that leads on without a vote, and against a demoted member that counts in the majority or
 // must join anew.
 TEST_CASE("a leader that loses its vote steps down and follows with its log")
--- a/src/libbergamot/quorum/quorum_state.h
+++ b/src/libbergamot/quorum/quorum_state.h
@@ -43,6 +43,8 @@
     std::uint64_t token = 0;
     std::string requestId;
     TimePoint deadline;
+    /// Result of a change of members, which is answered with a later entry.
+    std::optional<schema::CommandResult> result = std::nullopt;
 };
 
 class QuorumLog::Implementation {
@@ -76,11 +78,11 @@
     std::vector<schema::ControlMember> membersAt(std::uint64_t changeIndex) const;
     bool isVoter(const std::string& identity) const;
     /// @return true while another leader may still replace the last change of members.
-    bool isMemberChangePending() const { return memberChangeIndex > commitIndex; }
+    bool isMemberChangePending() const { return memberChangeIndex > std::max(commitIndex, knownCommit); }
     /// @param lost voters that do not count.
     VoterSets voterSets(const std::set<std::string>& lost) const;
     /// @return the members and, while a change is pending, those that it takes away.
-    std::vector<schema::ControlMember> reachableMembers() const;
+    std::vector<schema::ControlMember> replicatedMembers() const;
     void handleLostVoter(const std::string& identity, TimePoint now);
 
     // Elections.
@@ -133,7 +135,10 @@
     void appendEntries(std::vector<schema::LogEntry> entries, TimePoint now);
     void commitUpTo(std::uint64_t index, TimePoint now);
     void applyEntry(const schema::LogEntry& entry, TimePoint now);
-    void handleMemberChange(const schema::LogEntry& entry, TimePoint now);
+    void answerPending(std::uint64_t index, const schema::CommandResult& result);
+    void handleMemberChange(const schema::LogEntry& entry, const schema::CommandResult& result, TimePoint now);
+    /// Appends an entry that shows the change to be committed, and answers the change with it.
+    void confirmMemberChange(std::uint64_t index, const schema::CommandResult& result, TimePoint now);
     void dropRemovedMembers(TimePoint now);
     void takeSnapshotIfDue();
     void answerUnknown(std::uint64_t token, const std::string& requestId, ResultCode code, std::string_view message);
@@ -148,6 +153,9 @@
     LogWindow window;
     ConfigurationMachine machine;
     std::uint64_t commitIndex = 0;
+    /// Highest commit index that an entry of the log names. Entries up to it are committed, but this host may not have
+    /// been told so yet.
+    std::uint64_t knownCommit = 0;
     /// Time at which the commit index is persisted; this may lag behind the commit itself.
     TimePoint commitPersistDeadline = noDeadline;
     /// Latest snapshot; sent to members that need entries older than the window.
--- a/src/libbergamot/quorum/replication.cpp
+++ b/src/libbergamot/quorum/replication.cpp
@@ -20,7 +20,7 @@
 
 void QuorumLog::Implementation::rebuildProgress(std::uint64_t next, TimePoint now)
 {
-    for (const schema::ControlMember& member : reachableMembers()) {
+    for (const schema::ControlMember& member : replicatedMembers()) {
         if (member.identity() == options.identity || progress.contains(member.identity()))
             continue;
         Progress& added = progress[member.identity()];
--- a/src/libbergamot/quorum/voter_sets.h
+++ b/src/libbergamot/quorum/voter_sets.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Which sets of voters decide. A commit needs a majority; an election needs enough voters to meet every majority.
+/// Which voters decide: a majority, or half of an even number of them once the log of another one is known to be gone.
 /// docs/design/control_quorum.md gives the argument.
 
 #include "configuration.pb.h"
@@ -53,8 +53,8 @@
 private:
     using Voters = std::vector<std::string>;
 
-    /// A majority. With an even number of voters, of which one is proven lost, half of them are enough: they meet every
-    /// majority, and any other half without a lost voter.
+    /// Half of an even number of voters, one of them lost, meets every majority and every other half without a lost
+    /// voter.
     std::size_t quorumSize(const Voters& voters) const;
     bool isLost(const std::string& identity) const { return m_lost.contains(identity); }
 
