Use a target only once a document names its service

Cause: whether the document names a service was asked where a record takes over an id or an address, and nowhere else. The record went to all entry hosts, and of two targets with one cookie the one that started first keeps it; a heartbeat without a start time counts as started at 0.

The registry keeps such targets apart now, by one test (TargetRegistry::isUsed): no events, nothing sent to entry hosts, no part in digests, evacuations and counts. A document that names the service takes them into use; one that no longer names it leaves them in use, since flows may be open. Control hosts tell each other which targets are in use (service_named), so that hosts with different documents agree. Log line TargetUnnamed, metric bergamot_directory_unnamed_targets.

Evidence: course other_writers_number of testsuite/late_leaves fails before with all four open flows reset; TargetFound of the other writer's ids on the entry hosts, then FlowTargetUnreachable.

In a run of all tests beside two full builds, the courses meant and meant_beside_frozen_host of testsuite/late_leaves failed once: control hosts of several courses, deployments of their own, log nothing for over a second and go on within the same 10 ms, while entry hosts log ControlHostLost in between. A stall of the machine's disk is suspected, not shown.

--- a/src/bergamot-directory/directory_daemon.cpp
+++ b/src/bergamot-directory/directory_daemon.cpp
@@ -93,6 +93,8 @@
         case TargetEvent::Heard:
         case TargetEvent::Updated:
             return ResultCode::TargetHeard;
+        case TargetEvent::Unnamed:
+            return ResultCode::TargetUnnamed;
         default:
             return ResultCode::TargetFound;
         }
@@ -124,6 +126,8 @@
     , m_stopTimer(loop, [this] { finishStop(); })
 {
     m_replicator.onHostStopping([this] { m_memberTimer.start(Duration(0)); });
+    // Before the first document no target is to be used.
+    m_registry.setServices({});
     m_registry.setObserver(
         [this](const RegisteredTarget& target, TargetEvent event) { handleTargetEvent(target, event); });
     m_quorum.configurationAccepted().connect([this] {
--- a/src/bergamot-directory/evacuation_routes.cpp
+++ b/src/bergamot-directory/evacuation_routes.cpp
@@ -102,10 +102,10 @@
 std::set<std::string> EvacuationRoutes::servingDataCentres() const
 {
     std::set<std::string> names;
-    for (const auto& [id, target] : m_registry.targets()) {
+    m_registry.visitTargets([&names](const RegisteredTarget& target) {
         if (target.record.phase() != schema::TARGET_GONE)
             names.insert(target.record.data_centre());
-    }
+    });
     return names;
 }
 
@@ -119,9 +119,10 @@
     // An accepted order is acknowledged again also by a host whose settings do not name the data centre.
     if (namesOf(m_quorum.log().configuration()).contains(dataCentre))
         return true;
-    const auto& targets = m_registry.targets();
-    const bool isTargets = std::any_of(targets.begin(), targets.end(),
-        [&dataCentre](const auto& item) { return item.second.record.data_centre() == dataCentre; });
+    bool isTargets = false;
+    m_registry.visitTargets([&isTargets, &dataCentre](const RegisteredTarget& target) {
+        isTargets = isTargets || target.record.data_centre() == dataCentre;
+    });
     const auto hosts = m_replicator.entryHosts(Duration::max());
     return isTargets || std::any_of(hosts.begin(), hosts.end(), [&dataCentre](const schema::EntryHostRecord& host) {
         return host.data_centre() == dataCentre;
--- a/src/bergamot-directory/operator_routes.cpp
+++ b/src/bergamot-directory/operator_routes.cpp
@@ -152,7 +152,7 @@
     }
     ++m_counters.heartbeats;
     const TargetEvent event = m_registry.merge(*heartbeat, true, m_loop.now());
-    if (event == TargetEvent::Draining || event == TargetEvent::Gone)
+    if (event == TargetEvent::Draining || event == TargetEvent::Gone || event == TargetEvent::Unnamed)
         acknowledgeWhenReplicated(exchange, replicationTimeout);
     else
         exchange->reply(HttpStatus::Ok, m_protocol.heartbeatResponse(), jsonType);
@@ -227,7 +227,9 @@
         static_cast<double>(m_quorum.log().lostVoters().size()));
     add("elections_by_half_total", "Elections won with half of the voters, because another voter's log is gone.",
         static_cast<double>(m_quorum.log().electionsByHalf()));
-    add("targets", "Targets in the registry.", static_cast<double>(m_registry.targets().size()));
+    add("targets", "Targets in the registry.", static_cast<double>(m_registry.targetCount()));
+    add("unnamed_targets", "Targets that are not used, because no document has named their service.",
+        static_cast<double>(m_registry.unnamedCount()));
     add("waiting_entry_calls", "Pending long polls of entry hosts.",
         static_cast<double>(m_entrySync.pendingCallCount()));
     add("failed_exchanges_total", "Failed registry exchanges with control hosts.",
@@ -236,7 +238,8 @@
         static_cast<double>(m_replicator.unreadableMessages()));
     add("unreadable_targets_total", "Target records ignored because they name no target.",
         static_cast<double>(m_registry.unreadableRecords()));
-    add("foreign_targets_total", "Target records ignored because they name the ID of a target of another service.",
+    add("foreign_targets_total",
+        "Target records ignored because they name the ID of a target to use, and a service that no document names.",
         static_cast<double>(m_registry.foreignRecords()));
     const HeartbeatDigestCounters& digest = m_replicator.digestCounters();
     add("target_records_sent_total", "Whole target records sent to control hosts.",
--- a/src/bergamot-entry/cookie_entry_daemon.cpp
+++ b/src/bergamot-entry/cookie_entry_daemon.cpp
@@ -108,6 +108,8 @@
     , m_stopTimer(loop, [this] { end(); })
 {
     m_steering.setRegistryLoaded(false);
+    // Control hosts mark the targets to use; those of earlier versions do not, and the document decides.
+    m_registry.setServices({});
     m_registry.setObserver(
         [this](const RegisteredTarget& target, TargetEvent event) { handleTargetEvent(target, event); });
     m_packets.setDecisionObserver(
@@ -179,7 +181,7 @@
         applyStoppedDataCentres(response.stopped_data_centres());
     for (const schema::TargetRecord& record : response.targets())
         m_registry.merge(record, false, m_loop.now());
-    const bool isComplete = !response.more() && !m_registry.targets().empty();
+    const bool isComplete = !response.more() && m_registry.targetCount() > 0;
     m_isRegistryLoaded = m_isRegistryLoaded || isComplete;
     m_steering.setRegistryLoaded(m_isRegistryLoaded);
     if (response.entry_hosts_size() > 0)
@@ -191,7 +193,7 @@
         m_wasReady = true;
         writeLog(LogLevel::Info, ResultCode::Ok, "ready",
             { { "version", std::to_string(m_steering.documentVersion()) },
-                { "targets", std::to_string(m_registry.targets().size()) } });
+                { "targets", std::to_string(m_registry.targetCount()) } });
     }
 }
 
@@ -259,6 +261,8 @@
 
 void CookieEntryDaemon::handleTargetEvent(const RegisteredTarget& target, TargetEvent event)
 {
+    if (event == TargetEvent::Unnamed)
+        return;
     m_steering.updateTarget(target, m_loop.now());
     const ResultCode code = event == TargetEvent::Draining ? ResultCode::TargetDraining
         : event == TargetEvent::Gone                       ? ResultCode::TargetGone
--- a/src/include/bergamotroute/result_code.h
+++ b/src/include/bergamotroute/result_code.h
@@ -48,6 +48,7 @@
     TargetUnresponsive = 314,
     TargetResponsive = 315,
     TargetLeave = 316,
+    TargetUnnamed = 317,
 
     // 4xx: configuration commands
     CommandMalformed = 400,
--- a/src/include/bergamotroute/target_registry.h
+++ b/src/include/bergamotroute/target_registry.h
@@ -39,6 +39,8 @@
     Heard,
     /// A leave that names no incarnation waits for evidence (target_leave.h).
     LeavePending,
+    /// Any of the events above but Refreshed, of a target that is not used because no document has named its service.
+    Unnamed,
 };
 
 /// Variation between the delays of two heartbeats, by which the end of slow start that they state may differ. A
@@ -109,6 +111,10 @@
 };
 
 /// Registry of targets. Incarnations are ordered by start time, heartbeats of one incarnation by sequence number.
+///
+/// A heartbeat may come from another writer, which names a service of its own. Its target is kept apart from those to
+/// use until a document names the service: it causes no events, is not sent to entry hosts and counts nowhere. Once
+/// named, a target stays in use also when a later document leaves its service out, since flows to it may be open.
 class TargetRegistry {
 public:
     using Observer = std::function<void(const RegisteredTarget& target, TargetEvent event)>;
@@ -151,9 +157,9 @@
     /// already or a later incarnation than the named one runs.
     TargetEvent leave(std::string_view id, std::uint64_t startTimeMs, TimePoint now);
 
-    /// Sets the services that the document in force names. A target of another service takes over neither the id nor
-    /// the address of a target of one of these. Until this is called, all services count as named.
-    void setServices(std::set<std::string, std::less<>> services) { m_services = std::move(services); }
+    /// Sets the services that the document in force names, and takes their targets into use. A target that is not in
+    /// use takes over neither the id nor the address of one that is. Until this is called, all services count as named.
+    void setServices(std::set<std::string, std::less<>> services);
 
     /// Sets the contact of this host with the other control hosts, by which it judges leaves that name no incarnation.
     void setContact(ControlContact contact) { m_contact = contact; }
@@ -164,7 +170,18 @@
 
     const RegisteredTarget* find(std::string_view id) const;
     const RegisteredTarget* findByRefreshKey(std::uint32_t key) const;
-    const std::map<std::string, RegisteredTarget, std::less<>>& targets() const { return m_targets; }
+
+    /// Visits the targets to use, in the order of their ids. Those of services that no document has named are left out.
+    void visitTargets(const std::function<void(const RegisteredTarget& target)>& visitor) const;
+
+    /// @return number of targets to use.
+    std::size_t targetCount() const;
+
+    /// @return number of targets of services that no document has named.
+    std::size_t unnamedCount() const { return m_targets.size() - targetCount(); }
+
+    /// @return all targets, also those that are not to be used.
+    const std::map<std::string, RegisteredTarget, std::less<>>& records() const { return m_targets; }
 
     /// @return sequence number of the last change that other control hosts need: an event, or a heartbeat received
     /// here.
@@ -175,8 +192,8 @@
 
     const LeaveCounters& leaveCounters() const { return m_leaveCounters; }
 
-    /// @return number of records that were ignored because they name the id of a target, but no service of the
-    /// document.
+    /// @return number of records that were ignored because they name the id of a target to use, but another service,
+    /// which no document names.
     std::uint64_t foreignRecords() const { return m_foreignRecords; }
 
     /// @return sequence number of the last event other than Refreshed.
@@ -217,17 +234,27 @@
         RegisteredTarget& target, const schema::TargetRecord& record, bool isNew, bool isHeartbeat, TimePoint now);
     /// @return whether a record of the known incarnation says anything new.
     bool addsToKnown(const schema::TargetRecord& record, const RegisteredTarget& known, TimePoint now) const;
+    /// @return whether a document names, or has named, the service of a record.
     bool isNamed(const schema::TargetRecord& record) const;
+    /// @return whether a record may take over the id of a target in use.
+    bool isUsable(const schema::TargetRecord& record) const;
+    /// The one test whether a target is in use.
+    bool isUsed(const RegisteredTarget& target) const { return target.record.service_named() || !m_services; }
+    /// @return whether a record names the id of a target in use, and another service, which no document has named.
+    bool isForeign(const schema::TargetRecord& record, const RegisteredTarget* known) const;
+    /// Takes a target into use whose service is named by now.
+    void markNamed(RegisteredTarget& target);
     /// @return whether a record starts an incarnation that this registry does not hold.
     bool startsIncarnation(const schema::TargetRecord& record, const RegisteredTarget* known) const;
     /// @return whether a target holds the address of one that started before it.
-    bool holdsAddressOf(const schema::TargetRecord& later, const schema::TargetRecord& earlier) const;
+    bool holdsAddressOf(const RegisteredTarget& later, const schema::TargetRecord& earlier, bool isEarlierUsed) const;
+    /// @param isInUse the record is that of a target to use.
     /// @return whether a target that started later holds the address of a record.
-    bool isAddressTaken(const schema::TargetRecord& record) const;
+    bool isAddressTaken(const schema::TargetRecord& record, bool isInUse) const;
     /// @param previous the known record of the same incarnation, or null.
     /// @return the phase of a target after a record of it.
     schema::TargetPhase phaseOf(
-        const schema::TargetRecord& record, const schema::TargetRecord* previous, bool isHeartbeat) const;
+        const schema::TargetRecord& record, const schema::TargetRecord* previous, bool isInUse, bool isHeartbeat) const;
     /// Marks those as gone whose address a target has taken that started later, and that are silent.
     void supersede(const std::vector<std::string>& ids, TimePoint now);
     void updateEndpointIndex(const std::string& id, const std::string& previousEndpoint, const std::string& endpoint);
--- a/src/libbergamot/base/result_code.cpp
+++ b/src/libbergamot/base/result_code.cpp
@@ -63,6 +63,8 @@
         { ResultCode::TargetLeave, "TargetLeave",
             "A target asked to leave; if the call names no start time, later heartbeats show whether an earlier "
             "incarnation sent it." },
+        { ResultCode::TargetUnnamed, "TargetUnnamed",
+            "No document has named the service of the target; it is not used until one does." },
         { ResultCode::CommandMalformed, "CommandMalformed", "The command does not match the schema." },
         { ResultCode::RevisionStale, "RevisionStale",
             "The expected revision is not the current one; read the current configuration before retrying." },
--- a/src/libbergamot/directory/heartbeat_digest.cpp
+++ b/src/libbergamot/directory/heartbeat_digest.cpp
@@ -142,7 +142,7 @@
 
 void HeartbeatDigest::forgetRemovedTargets()
 {
-    if (m_peerTargets.size() <= m_registry.targets().size() + maxRemovedTargets)
+    if (m_peerTargets.size() <= m_registry.records().size() + maxRemovedTargets)
         return;
     // A target that was removed and comes back gets another key.
     std::erase_if(m_peerTargets, [this](const auto& item) {
--- a/src/libbergamot/directory/heartbeat_digest_test.cpp
+++ b/src/libbergamot/directory/heartbeat_digest_test.cpp
@@ -151,9 +151,9 @@
             network.exchangeAll();
     }
     for (const auto& host : network.hosts) {
-        CHECK(host->registry.targets().size() == 3000);
+        CHECK(host->registry.records().size() == 3000);
         CHECK(host->counters.refreshesIgnored == 0);
-        for (const auto& [id, target] : host->registry.targets())
+        for (const auto& [id, target] : host->registry.records())
             REQUIRE_FALSE(target.silent);
     }
     return network.bytes;
@@ -226,7 +226,7 @@
     const std::uint32_t key = at(0, 1).refreshKey;
     for (unsigned i = 1; i <= 2; ++i)
         hosts[1]->registry.advance(clock.now() + i * Duration(120'000));
-    REQUIRE(hosts[1]->registry.targets().empty());
+    REQUIRE(hosts[1]->registry.records().empty());
     heartbeat(0, makeHeartbeat(1, 11));
     exchange(0, 1);
     CHECK(hosts[1]->counters.refreshesIgnored == 1);
@@ -234,7 +234,7 @@
     CHECK(at(1, 1).record.sequence() == 11);
     advance(120'000);
     advance(120'000);
-    REQUIRE(hosts[0]->registry.targets().empty());
+    REQUIRE(hosts[0]->registry.records().empty());
     heartbeat(0, makeHeartbeat(2, 1));
     CHECK(at(0, 2).refreshKey > key);
 }
@@ -326,7 +326,7 @@
         }
         for (unsigned round = 0; round < 5; ++round)
             network.exchangeAll();
-        for (const auto& [id, target] : network.hosts[0]->registry.targets()) {
+        for (const auto& [id, target] : network.hosts[0]->registry.records()) {
             for (const std::size_t host : { 1, 2 }) {
                 const RegisteredTarget* other = network.hosts[host]->registry.find(id);
                 REQUIRE(other != nullptr);
--- a/src/libbergamot/directory/target_registry.cpp
+++ b/src/libbergamot/directory/target_registry.cpp
@@ -60,7 +60,7 @@
     }
     const auto found = m_targets.find(record.id());
     RegisteredTarget* known = found == m_targets.end() ? nullptr : &found->second;
-    if (known && isNamed(known->record) && !isNamed(record)) {
+    if (isForeign(record, known)) {
         ++m_foreignRecords;
         return TargetEvent::Ignored;
     }
@@ -73,6 +73,8 @@
     if (isNew || addsToKnown(record, *known, now))
         event = apply(m_targets[record.id()], record, isNew, isHeartbeat, now);
     RegisteredTarget& target = m_targets.find(record.id())->second;
+    if (isNamed(record))
+        markNamed(target);
     mergeLeave(target, record, now);
     matchLeave(record.id(), target, now);
     return resolveLeave(target, now) == TargetEvent::Gone ? TargetEvent::Gone : event;
@@ -80,14 +82,45 @@
 
 bool TargetRegistry::isNamed(const schema::TargetRecord& record) const
 {
-    return !m_services || m_services->contains(record.service());
+    return record.service_named() || (m_services && m_services->contains(record.service()));
+}
+
+bool TargetRegistry::isUsable(const schema::TargetRecord& record) const { return isNamed(record) || !m_services; }
+
+bool TargetRegistry::isForeign(const schema::TargetRecord& record, const RegisteredTarget* known) const
+{
+    return known && known->record.service_named() && !isUsable(record) && record.service() != known->record.service();
+}
+
+void TargetRegistry::setServices(std::set<std::string, std::less<>> services)
+{
+    m_services = std::move(services);
+    for (auto& [id, target] : m_targets) {
+        if (isNamed(target.record))
+            markNamed(target);
+    }
+}
+
+void TargetRegistry::markNamed(RegisteredTarget& target)
+{
+    if (target.record.service_named())
+        return;
+    const bool wasUsed = isUsed(target);
+    target.record.set_service_named(true);
+    const schema::TargetPhase phase = target.record.phase();
+    if (wasUsed)
+        recordWholeChange(target);
+    else if (phase == schema::TARGET_GONE)
+        recordEvent(target, TargetEvent::Gone);
+    else
+        recordEvent(target, phase == schema::TARGET_DRAINING ? TargetEvent::Draining : TargetEvent::Found);
 }
 
 bool TargetRegistry::startsIncarnation(const schema::TargetRecord& record, const RegisteredTarget* known) const
 {
     if (!known || known->record.born_ms() < record.born_ms())
         return true;
-    return !isNamed(known->record) && isNamed(record);
+    return !known->record.service_named() && isNamed(record) && record.service() != known->record.service();
 }
 
 bool TargetRegistry::addsToKnown(const schema::TargetRecord& record, const RegisteredTarget& known, TimePoint now) const
@@ -105,7 +138,11 @@
     RegisteredTarget& target, const schema::TargetRecord& record, bool isNew, bool isHeartbeat, TimePoint now)
 {
     const schema::TargetRecord previous = target.record;
-    const schema::TargetPhase phase = phaseOf(record, isNew ? nullptr : &previous, isHeartbeat);
+    const bool wasUsed = isUsed(target);
+    const bool isServiceNamed = isNamed(record) || previous.service_named();
+    const bool isInUse = isServiceNamed || !m_services;
+    const bool isFound = isNew || (isInUse && !wasUsed);
+    const schema::TargetPhase phase = phaseOf(record, isNew ? nullptr : &previous, isInUse, isHeartbeat);
     const bool isGone = phase == schema::TARGET_GONE;
     updateEndpointIndex(record.id(), previous.endpoint(), record.endpoint());
     const bool isRestarted = previous.restarted() || record.restarted() || (isNew && !previous.id().empty());
@@ -116,6 +153,7 @@
     target.record.clear_leave_age_ms();
     target.record.set_phase(phase);
     target.record.set_restarted(isRestarted);
+    target.record.set_service_named(isServiceNamed);
     target.lastHeartbeat
         = isNew ? now - Duration(record.age_ms()) : std::max(target.lastHeartbeat, now - Duration(record.age_ms()));
     target.slowStartUntil = record.cold_left_ms() > 0 ? now + Duration(record.cold_left_ms()) : TimePoint {};
@@ -130,15 +168,17 @@
     const bool wasSilent = std::exchange(target.silent, isSilent);
     TargetEvent event = TargetEvent::Refreshed;
     if (isGone)
-        event = isNew || previous.phase() != schema::TARGET_GONE ? TargetEvent::Gone : TargetEvent::Refreshed;
-    else if (phase == schema::TARGET_DRAINING && (isNew || previous.phase() != schema::TARGET_DRAINING))
+        event = isFound || previous.phase() != schema::TARGET_GONE ? TargetEvent::Gone : TargetEvent::Refreshed;
+    else if (phase == schema::TARGET_DRAINING && (isFound || previous.phase() != schema::TARGET_DRAINING))
         event = TargetEvent::Draining;
-    else if (isNew)
+    else if (isFound)
         event = TargetEvent::Found;
     else if (!hasSameProperties(previous, target.record) || isSlowStartExtended(target, now))
         event = TargetEvent::Updated;
     else if (wasSilent != target.silent)
         event = target.silent ? TargetEvent::Silent : TargetEvent::Heard;
+    if (!isInUse && event != TargetEvent::Refreshed)
+        event = TargetEvent::Unnamed;
     recordEvent(target, event);
     return event;
 }
@@ -164,13 +204,13 @@
 }
 
 schema::TargetPhase TargetRegistry::phaseOf(
-    const schema::TargetRecord& record, const schema::TargetRecord* previous, bool isHeartbeat) const
+    const schema::TargetRecord& record, const schema::TargetRecord* previous, bool isInUse, bool isHeartbeat) const
 {
     schema::TargetPhase phase = record.phase();
     // Records of one heartbeat differ only if a host has inferred a later phase.
     if (previous && record.sequence() == previous->sequence())
         phase = std::max(phase, previous->phase());
-    if (m_options.silenceFromRecords || !isAddressTaken(record))
+    if (m_options.silenceFromRecords || !isAddressTaken(record, isInUse))
         return phase;
     if (Duration(record.age_ms()) >= m_options.silentAfter)
         return schema::TARGET_GONE;
@@ -179,19 +219,21 @@
     return isHeartbeat && !isRunning ? std::max(phase, schema::TARGET_DRAINING) : phase;
 }
 
-bool TargetRegistry::holdsAddressOf(const schema::TargetRecord& later, const schema::TargetRecord& earlier) const
+bool TargetRegistry::holdsAddressOf(
+    const RegisteredTarget& later, const schema::TargetRecord& earlier, bool isEarlierUsed) const
 {
-    return later.id() != earlier.id() && later.phase() != schema::TARGET_GONE && later.born_ms() > earlier.born_ms()
-        && (isNamed(later) || !isNamed(earlier));
+    return later.record.id() != earlier.id() && later.record.phase() != schema::TARGET_GONE
+        && later.record.born_ms() > earlier.born_ms() && (isUsed(later) || !isEarlierUsed);
 }
 
-bool TargetRegistry::isAddressTaken(const schema::TargetRecord& record) const
+bool TargetRegistry::isAddressTaken(const schema::TargetRecord& record, bool isInUse) const
 {
     const auto found = m_idsByEndpoint.find(record.endpoint());
     if (found == m_idsByEndpoint.end())
         return false;
-    return std::any_of(found->second.begin(), found->second.end(),
-        [this, &record](const std::string& id) { return holdsAddressOf(m_targets.find(id)->second.record, record); });
+    return std::any_of(found->second.begin(), found->second.end(), [this, &record, isInUse](const std::string& id) {
+        return holdsAddressOf(m_targets.find(id)->second, record, isInUse);
+    });
 }
 
 void TargetRegistry::supersede(const std::vector<std::string>& ids, TimePoint now)
@@ -202,7 +244,7 @@
     for (const std::string& id : ids) {
         RegisteredTarget& target = m_targets.find(id)->second;
         const bool isSilent = now - target.lastHeartbeat >= m_options.silentAfter;
-        if (isSilent && isAddressTaken(target.record))
+        if (isSilent && isAddressTaken(target.record, isUsed(target)))
             inferPhase(target, schema::TARGET_GONE);
     }
 }
@@ -374,10 +416,12 @@
     if (event == TargetEvent::Refreshed || event == TargetEvent::Ignored)
         return;
     recordWholeChange(target);
-    target.lastEvent = ++m_lastEvent;
+    const bool isInUse = isUsed(target);
     target.announcedSlowStartUntil = target.slowStartUntil;
+    if (isInUse)
+        target.lastEvent = ++m_lastEvent;
     if (m_observer)
-        m_observer(target, event);
+        m_observer(target, isInUse ? event : TargetEvent::Unnamed);
 }
 
 void TargetRegistry::advance(TimePoint now)
@@ -431,6 +475,20 @@
     return found == m_targetsByRefreshKey.end() ? nullptr : found->second;
 }
 
+void TargetRegistry::visitTargets(const std::function<void(const RegisteredTarget& target)>& visitor) const
+{
+    for (const auto& [id, target] : m_targets) {
+        if (isUsed(target))
+            visitor(target);
+    }
+}
+
+std::size_t TargetRegistry::targetCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_targets.begin(), m_targets.end(), [this](const auto& item) { return isUsed(item.second); }));
+}
+
 void TargetRegistry::visitChangesSince(
     std::uint64_t change, const std::function<void(const RegisteredTarget& target)>& visitor) const
 {
@@ -480,6 +538,8 @@
     std::string text;
     for (const auto& [id, target] : m_targets) {
         const schema::TargetRecord& record = target.record;
+        if (!isUsed(target))
+            continue;
         if (target.slowStartUntil > now)
             return 0;
         text.clear();
--- a/src/libbergamot/directory/target_registry_test.cpp
+++ b/src/libbergamot/directory/target_registry_test.cpp
@@ -144,6 +144,75 @@
     CHECK(started.find("i-1")->record.service() == "orders");
 }
 
+// Guards against a record of another writer that takes cookies, numbers or counts from targets in use.
+TEST_CASE_FIXTURE(Fixture, "a target of a service that no document names is kept apart until one names it")
+{
+    std::vector<TargetEvent> events;
+    registry.setObserver([&events](const RegisteredTarget&, TargetEvent event) { events.push_back(event); });
+    registry.setServices({ "orders" });
+    merge(makeHeartbeat("i-1", 100, 1));
+    const std::uint64_t digest = registry.digest(clock.now());
+    const std::uint64_t lastEvent = registry.lastEvent();
+    const auto makeUnnamed = [](std::uint64_t sequence, schema::TargetPhase phase) {
+        schema::TargetRecord record = makeHeartbeat("vm-1", 0, sequence, phase, "10.0.0.9:80");
+        record.set_service("later");
+        return record;
+    };
+    CHECK(merge(makeUnnamed(1, schema::TARGET_READY)) == TargetEvent::Unnamed);
+    CHECK(merge(makeUnnamed(2, schema::TARGET_READY)) == TargetEvent::Refreshed);
+    CHECK(merge(makeUnnamed(3, schema::TARGET_DRAINING)) == TargetEvent::Unnamed);
+    CHECK(registry.targetCount() == 1);
+    CHECK(registry.unnamedCount() == 1);
+    CHECK(registry.digest(clock.now()) == digest);
+    CHECK(registry.lastEvent() == lastEvent);
+    CHECK(registry.eventsSince(0, clock.now()).size() == 1);
+    std::size_t visited = 0;
+    registry.visitTargets([&visited](const RegisteredTarget&) { ++visited; });
+    CHECK(visited == 1);
+    registry.setServices({ "orders", "later" });
+    CHECK(events.back() == TargetEvent::Draining);
+    CHECK(registry.targetCount() == 2);
+    CHECK(registry.unnamedCount() == 0);
+    CHECK(registry.eventsSince(lastEvent, clock.now()).size() == 1);
+}
+
+// Guards against open flows that lose their target when a document leaves its service out, and against another writer
+// that takes the id or address over then.
+TEST_CASE_FIXTURE(Fixture, "a target stays in use when a later document does not name its service")
+{
+    registry.setServices({ "orders" });
+    merge(makeHeartbeat("i-1", 100, 1));
+    registry.setServices({ "others" });
+    CHECK(registry.targetCount() == 1);
+    CHECK(merge(makeHeartbeat("i-1", 100, 2, schema::TARGET_DRAINING)) == TargetEvent::Draining);
+    schema::TargetRecord foreign = makeHeartbeat("i-1", 300, 1);
+    foreign.set_service("unnamed");
+    CHECK(merge(foreign) == TargetEvent::Ignored);
+    foreign.set_id("x-1");
+    merge(foreign);
+    advance(Duration(6000));
+    CHECK(phaseOf(registry, "i-1") == schema::TARGET_DRAINING);
+    CHECK(registry.find("i-1")->record.service() == "orders");
+    // A host that knows only the later document learns from the others that the target is in use.
+    TargetRegistry started { RegistryOptions {} };
+    started.setServices({ "others" });
+    started.merge(makeHeartbeat("i-1", 100, 2), true, clock.now());
+    REQUIRE(started.targetCount() == 0);
+    started.merge(makeTargetRecord(*registry.find("i-1"), clock.now()), false, clock.now());
+    CHECK(started.targetCount() == 1);
+    CHECK(started.eventsSince(0, clock.now()).size() == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a target of a service that no document names is removed like any other")
+{
+    registry.setServices({ "others" });
+    merge(makeHeartbeat("i-1", 100, 1));
+    for (int round = 0; round < 2; ++round)
+        advance(Duration(600'000));
+    CHECK(registry.records().empty());
+    CHECK(registry.unnamedCount() == 0);
+}
+
 TEST_CASE("a copy takes departures from the records only")
 {
     const ManualClock clock;
@@ -170,7 +239,7 @@
         clock.advance(Duration(600'000));
         registry.advance(clock.now());
     }
-    REQUIRE(registry.targets().empty());
+    REQUIRE(registry.records().empty());
     CHECK(merge(makeHeartbeat("i-3", 50, 1)) == TargetEvent::Found);
 }
 
@@ -308,7 +377,7 @@
         }
     }
     CHECK(parts == 4);
-    CHECK(copy.targets().size() == 1000);
+    CHECK(copy.records().size() == 1000);
     CHECK(phaseOf(copy, "i-0") == schema::TARGET_DRAINING);
     CHECK(phaseOf(copy, "i-999") == schema::TARGET_GONE);
     CHECK(copy.digest(clock.now()) == registry.digest(clock.now()));
