Show that a change of members needs a majority of the voters before it

Cause: the tests passed with the voters before a change left out of elections, commits and leases (trial with altered code), so that nothing guarded this part of the argument in docs/design/control_quorum.md.

The new case of quorum_members_test isolates two of four voters, takes the vote of one of them, and loses the disk of a third: with the altered code the change and a command after it are accepted by two hosts, while the two others elect a leader.

--- a/src/libbergamot/quorum/quorum_members_test.cpp
+++ b/src/libbergamot/quorum/quorum_members_test.cpp
@@ -124,6 +124,42 @@
     CHECK(quorum.submitToLeader(makeCommand("b", "10.0.0.2")).outcome() == schema::OUTCOME_ACCEPTED);
 }
 
+// Guards against a change that two of four voters commit, as a majority of the three after it, while the two others
+// elect a leader that has never seen it, because they know of a lost disk.
+TEST_CASE("a change of members needs a majority of the voters before it")
+{
+    TestQuorum quorum(4, 9);
+    quorum.run(Duration(2000));
+    TestMember* leader = quorum.leader();
+    REQUIRE(leader != nullptr);
+    std::vector<TestMember*> others;
+    for (const auto& member : quorum.members) {
+        if (member.get() != leader)
+            others.push_back(member.get());
+    }
+    quorum.isolate(others[1]->identity);
+    quorum.isolate(others[2]->identity);
+    const std::uint64_t demotion = quorum.submit(*leader, demoteMember("demote", others[1]->identity));
+    quorum.run(Duration(200));
+    const std::uint64_t command = quorum.submit(*leader, makeCommand("a", "10.0.0.1"));
+    quorum.run(Duration(200));
+    CHECK(leader->answers[demotion].outcome() != schema::OUTCOME_ACCEPTED);
+    CHECK(leader->answers[command].outcome() != schema::OUTCOME_ACCEPTED);
+    others[0]->loseDisk();
+    others[0]->start();
+    quorum.isolate(others[0]->identity);
+    for (int step = 0; step < 400; ++step) {
+        quorum.step();
+        REQUIRE(quorum.leaseCount() <= 1);
+    }
+    TestMember* second = quorum.leader();
+    REQUIRE(second != nullptr);
+    CHECK(second != leader);
+    CHECK(second->log->electionsByHalf() == 1);
+    quorum.heal();
+    CHECK(quorum.submitToLeader(makeCommand("b", "10.0.0.2")).outcome() == schema::OUTCOME_ACCEPTED);
+}
+
 // Guards against voters that do not know that an acknowledged change of members is committed: they ask for a majority
 // of the voters before it as well, of which the removed one and the lost leader are two.
 TEST_CASE("right after an acknowledged removal the leader may be lost")
