Keep a cancelled call of the stand-ins from going on for ever

Seen: a test of leaves with real programs passed its checks and then never ended (1 run; its programs were gone, the Python process waited until it was killed by hand after ten minutes).

Cause: asyncio.wait_for() of Python 3.11 returns the result and drops a cancellation that arrives at the same time. The loop that sends the heartbeats of a target then goes on, and asyncio.run() waits for it. Once the control hosts are gone each call fails at once, so both often coincide. Read in the code of the library; not reproduced a second time.

The calls and packets of the stand-ins use asyncio.timeout(), which keeps the cancellation.

--- a/src/soak/standins.py
+++ b/src/soak/standins.py
@@ -59,8 +59,10 @@
 
 async def call_http(endpoint, method, path, body=None, timeout=1.0, redirects=2):
     """Returns (status, body); status 0 means no clear answer."""
+    # wait_for() of Python 3.11 loses a cancellation that arrives together with the result, and the caller never ends.
     try:
-        return await asyncio.wait_for(_call_http(endpoint, method, path, body, redirects), timeout)
+        async with asyncio.timeout(timeout):
+            return await _call_http(endpoint, method, path, body, redirects)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
         return 0, b""
 
@@ -220,7 +222,8 @@
                 packet.ack = copy
             self._send(packet)
             try:
-                return await asyncio.wait_for(future, delay)
+                async with asyncio.timeout(delay):
+                    return await future
             except asyncio.TimeoutError:
                 continue
         return None
